--- /dev/null
+++ b/packages/agent/src/bambooring_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Run the process in a target's slot."""
--- /dev/null
+++ b/packages/agent/src/bambooring_agent/announcements/__init__.py
@@ -0,0 +1,1 @@
+"""Announce the target to entry instances."""
--- /dev/null
+++ b/packages/agent/src/bambooring_agent/commands.py
@@ -0,0 +1,77 @@
+"""Run the agent's command line."""
+
+import pathlib
+import signal
+
+import click
+
+from bambooring_agent import const
+from bambooring_agent import process
+from bambooring_agent import schema
+from bambooring_core import errors
+from bambooring_core import logs
+from bambooring_core import reactor as reactor_module
+
+EXIT_SETTINGS = 2
+
+_SETTINGS_OPTION = click.option(
+    '--settings',
+    'path',
+    required=True,
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help='The settings file, JSON with comments.',
+)
+
+
+@click.group(context_settings={'help_option_names': ['-h', '--help']})
+@click.version_option(package_name='bambooring-agent')
+def main() -> None:
+    """Run the bambooring process in a target's slot.
+
+    Exit codes: 0 done, 1 failed, 2 wrong settings or arguments.
+
+    \b
+    Example:
+      bambooring-agent run --settings agent.json5
+    """
+
+
+@main.command()
+@_SETTINGS_OPTION
+def run(path: pathlib.Path) -> None:
+    """Run until told to stop; SIGTERM leaves first and finishes work."""
+    settings = _read(path)
+    logs.set_up(
+        settings[const.CONF_TARGET],
+        settings[const.CONF_FAILURE_DOMAIN],
+        settings[const.CONF_LOG_LEVEL],
+    )
+    with reactor_module.Reactor() as reactor:
+        try:
+            agent = process.Agent(settings, reactor)
+        except errors.SettingsError as error:
+            _fail(error)
+        signal.signal(signal.SIGTERM, lambda *args: agent.leave())
+        signal.signal(signal.SIGINT, lambda *args: agent.leave())
+        agent.run()
+
+
+@main.command()
+@_SETTINGS_OPTION
+def check(path: pathlib.Path) -> None:
+    """Check a settings file and say what is wrong with it."""
+    _read(path)
+    click.echo(f'{path}: good')
+
+
+def _read(path: pathlib.Path) -> dict:
+    try:
+        return schema.read_settings(path)
+    except errors.SettingsError as error:
+        _fail(error)
+    raise AssertionError
+
+
+def _fail(error: errors.SettingsError) -> None:
+    click.echo(str(error), err=True)
+    raise SystemExit(EXIT_SETTINGS)
--- /dev/null
+++ b/packages/agent/src/bambooring_agent/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Call the target over HTTP."""
--- /dev/null
+++ b/packages/agent/src/bambooring_agent/gate/__init__.py
@@ -0,0 +1,1 @@
+"""Decide what runs on the target, and remember what ran."""
--- /dev/null
+++ b/packages/agent/src/bambooring_agent/gate/const.py
@@ -0,0 +1,23 @@
+"""Define the gate's limits."""
+
+import typing
+
+TOMBSTONE_S: typing.Final = 300.0
+ENDED_KEPT_S: typing.Final = 30.0
+DETACHED_LIMIT_S: typing.Final = 10.0
+BUFFER_LIMIT_BYTES: typing.Final = 8 * 1024 * 1024
+SERVICE_TIME_WEIGHT: typing.Final = 0.1
+QUEUED_AFTER_LEAVE_S: typing.Final = 2.0
+
+REASON_DUPLICATE: typing.Final = 'duplicate'
+REASON_EXPIRED: typing.Final = 'expired_in_queue'
+REASON_LEAVING: typing.Final = 'target_leaving'
+REASON_NEVER_ARRIVED: typing.Final = 'never_arrived'
+REASON_NOT_READY: typing.Final = 'target_not_ready'
+REASON_QUEUE_FULL: typing.Final = 'queue_full'
+REASON_RESTARTED: typing.Final = 'agent_restarted'
+REASON_WAIT_TOO_LONG: typing.Final = 'wait_too_long'
+REASON_WRONG_INCARNATION: typing.Final = 'wrong_incarnation'
+REASON_BUFFER_FULL: typing.Final = 'buffer_full'
+REASON_CANCELLED: typing.Final = 'cancelled'
+REASON_DETACHED: typing.Final = 'detached'
--- /dev/null
+++ b/packages/agent/src/bambooring_agent/gate/queue.py
@@ -0,0 +1,73 @@
+"""Queue attempts fairly by client account.
+
+Start-time fair queueing (Goyal, Vin and Cheng, 1996): each attempt has a
+start tag, the later of the queue's virtual time and the account's last
+finish tag; the finish tag lies cost over weight further on. The least start
+tag goes first within a priority.
+"""
+
+import collections.abc
+import heapq
+import itertools
+import typing
+
+Item = typing.TypeVar('Item')
+
+
+class FairQueue(typing.Generic[Item]):
+    """Hold items of weighted accounts and give out the fairest next."""
+
+    __slots__ = ('_finish', '_heap', '_items', '_sequence', '_virtual')
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, float, int]] = []
+        self._items: dict[int, Item] = {}
+        self._finish: dict[str, float] = {}
+        self._virtual = 0.0
+        self._sequence = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __iter__(self) -> collections.abc.Iterator[Item]:
+        return iter(list(self._items.values()))
+
+    def push(
+        self,
+        item: Item,
+        *,
+        account: str,
+        weight: float,
+        cost: float,
+        priority: int,
+    ) -> int:
+        """Add an item.
+
+        :param item: what to queue
+        :param account: whose it is
+        :param weight: the account's share
+        :param cost: how much of the share the item uses
+        :param priority: larger goes first
+        :returns: a ticket to remove the item with
+        """
+        tag = max(self._virtual, self._finish.get(account, 0.0))
+        self._finish[account] = tag + cost / weight
+        ticket = next(self._sequence)
+        self._items[ticket] = item
+        heapq.heappush(self._heap, (-priority, tag, ticket))
+        return ticket
+
+    def remove(self, ticket: int) -> None:
+        """Remove an item by its ticket."""
+        self._items.pop(ticket, None)
+
+    def pop(self) -> Item | None:
+        """Take the next item, or None when empty."""
+        while self._heap:
+            _, tag, ticket = heapq.heappop(self._heap)
+            item = self._items.pop(ticket, None)
+            if item is not None:
+                self._virtual = max(self._virtual, tag)
+                return item
+        self._finish.clear()
+        return None
--- /dev/null
+++ b/packages/bambooring/src/bambooring/__init__.py
@@ -0,0 +1,1 @@
+"""Balance load over expert-parallel model groups and plain services."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admit requests within the limits of instance and account."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/admission/state.py
@@ -0,0 +1,91 @@
+"""Count requests in progress and the rate of each client account.
+
+A token bucket bounds each account's rate. The limits of an account are
+those of all instances together, so each instance grants its even share.
+"""
+
+import dataclasses
+import math
+
+from bambooring.admission import const
+from bambooring.admission import messages
+from bambooring.configuration import records
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Usage:
+    """Hold what one account uses here."""
+
+    running: int = 0
+    tokens: float = 0.0
+    at: float = 0.0
+
+
+class Admission:
+    """Admit or refuse requests on one entry instance."""
+
+    def __init__(self, *, max_running: int) -> None:
+        self._max_running = max_running
+        self._usage: dict[str, _Usage] = {}
+        self.running = 0
+        self.instances = 1
+
+    def admit(
+        self, account: records.ClientAccount, now: float
+    ) -> messages.Refusal | None:
+        """Admit a request and count it.
+
+        :param account: whose request it is
+        :param now: the current time in seconds
+        :returns: None, or why it is refused
+        """
+        if self.running >= self._max_running:
+            return messages.Refusal(
+                reason=const.REASON_INSTANCE_FULL, retry_after_s=1.0
+            )
+        usage = self._usage.get(account.name)
+        if usage is None:
+            usage = _Usage(tokens=self._get_burst(account), at=now)
+            self._usage[account.name] = usage
+        if usage.running >= self._share(account.limits.in_flight):
+            return messages.Refusal(
+                reason=const.REASON_ACCOUNT_IN_FLIGHT, retry_after_s=1.0
+            )
+        rate = account.limits.requests_per_s / self.instances
+        self._refill(usage, account, rate, now)
+        if usage.tokens < 1:
+            return messages.Refusal(
+                reason=const.REASON_ACCOUNT_RATE,
+                retry_after_s=(1 - usage.tokens) / rate,
+            )
+        usage.tokens -= 1
+        usage.running += 1
+        self.running += 1
+        return None
+
+    def _refill(
+        self,
+        usage: _Usage,
+        account: records.ClientAccount,
+        rate: float,
+        now: float,
+    ) -> None:
+        tokens = usage.tokens + (now - usage.at) * rate
+        usage.tokens = min(self._get_burst(account), tokens)
+        usage.at = now
+
+    def _get_burst(self, account: records.ClientAccount) -> float:
+        return float(self._share(account.limits.burst))
+
+    def _share(self, limit: int) -> int:
+        return math.ceil(limit / self.instances)
+
+    def release(self, account: str) -> None:
+        """Take note that an admitted request has ended.
+
+        :param account: whose request it was
+        """
+        self.running -= 1
+        usage = self._usage.get(account)
+        if usage is not None:
+            usage.running -= 1
--- /dev/null
+++ b/packages/bambooring/src/bambooring/bookings/__init__.py
@@ -0,0 +1,1 @@
+"""Claim each non-idempotent booking before it may run."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Answer callers over HTTP."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/callers/answers.py
@@ -0,0 +1,126 @@
+"""Turn events into HTTP answers that can't look whole when they aren't."""
+
+import collections.abc
+import json
+import random
+
+import werkzeug.wrappers
+
+from bambooring.callers import const
+from bambooring.callers import errors
+from bambooring.dispatch import messages as dispatch
+from bambooring import metrics
+from bambooring_core.dispatch import messages as wire
+
+Response = werkzeug.wrappers.Response
+
+_OUTCOMES = {
+    wire.Outcome.COMPLETE: 'complete',
+    wire.Outcome.FAILED: 'failed',
+    wire.Outcome.NOT_RUN: 'not_run',
+    wire.Outcome.UNKNOWN: 'unknown',
+}
+
+
+def make_body(
+    status: int, reason: str, outcome: wire.Outcome, request_id: str
+) -> bytes:
+    """Return the typed body of an error."""
+    error = {
+        'status': status,
+        'reason': reason,
+        'outcome': _OUTCOMES[outcome],
+        'request_id': request_id,
+    }
+    return json.dumps({'error': error}).encode() + b'\n'
+
+
+def make_headers(
+    reason: str,
+    outcome: wire.Outcome,
+    request_id: str,
+    retry_after_s: float,
+    rng: random.Random,
+) -> list[tuple[str, str]]:
+    """Return the headers of an error, a wait spread by jitter."""
+    headers = [
+        (const.HEADER_REQUEST_ID, request_id),
+        (const.HEADER_REASON, reason),
+        (const.HEADER_OUTCOME, _OUTCOMES[outcome]),
+    ]
+    if retry_after_s > 0:
+        spread = 1 + rng.random() * const.RETRY_JITTER
+        wait = max(1, round(retry_after_s * spread + rng.random()))
+        headers.append(('Retry-After', str(wait)))
+    return headers
+
+
+def make_error(
+    failure: dispatch.Failure, request_id: str, rng: random.Random
+) -> Response:
+    """Make the answer to a call that failed before any byte."""
+    count_refusal(failure)
+    response = Response(
+        make_body(failure.status, failure.reason, failure.outcome, request_id),
+        status=failure.status,
+        content_type='application/json',
+    )
+    for name, value in make_headers(
+        failure.reason,
+        failure.outcome,
+        request_id,
+        failure.retry_after_s,
+        rng,
+    ):
+        response.headers[name] = value
+    return response
+
+
+def count_refusal(failure: dispatch.Failure) -> None:
+    """Count an error by reason and outcome."""
+    metrics.REFUSALS.labels(
+        reason=failure.reason, outcome=_OUTCOMES[failure.outcome]
+    ).inc()
+
+
+def make_failure(error: errors.CallerError) -> dispatch.Failure:
+    """Turn a refusal of this layer into a failure."""
+    return dispatch.Failure(
+        status=error.status,
+        reason=error.reason,
+        outcome=error.outcome,
+        retry_after_s=error.retry_after_s,
+    )
+
+
+def make_error_event(failure: dispatch.Failure, request_id: str) -> bytes:
+    """Make the last event of a stream that fails after its beginning."""
+    body = make_body(
+        failure.status, failure.reason, failure.outcome, request_id
+    )
+    return b'\n\nevent: error\ndata: ' + body.strip() + b'\n\n'
+
+
+def is_stream(head: dispatch.Head) -> bool:
+    """Tell whether an answer is a stream of server-sent events."""
+    return any(
+        header.name.lower() == 'content-type'
+        and header.value.startswith(const.STREAM_TYPE)
+        for header in head.headers
+    )
+
+
+def make_response(
+    head: dispatch.Head,
+    body: bytes | collections.abc.Iterator[bytes],
+    request_id: str,
+) -> Response:
+    """Make an answer with the target's status and headers."""
+    response = Response(body, status=head.status)
+    response.headers.clear()
+    for header in head.headers:
+        response.headers.add(header.name, header.value)
+    response.headers[const.HEADER_REQUEST_ID] = request_id
+    if isinstance(body, bytes):
+        response.headers['Content-Length'] = str(len(body))
+    return response
--- /dev/null
+++ b/packages/bambooring/src/bambooring/callers/errors.py
@@ -0,0 +1,21 @@
+"""Define the errors of the callers' side."""
+
+from bambooring import errors
+from bambooring_core.dispatch import messages as wire
+
+
+class CallerError(errors.ServerError):
+    """Report a request that is refused; it was not run."""
+
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float = 0.0
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.outcome = wire.Outcome.NOT_RUN
+
+
+class AnswerCutError(errors.ServerError):
+    """Break off an answer that can't be completed."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/callers/messages.py
@@ -0,0 +1,41 @@
+"""Define what the callers' side passes to the instance's thread."""
+
+import collections.abc
+import queue
+import typing
+
+from bambooring.configuration import holder
+from bambooring.dispatch import messages as dispatch
+
+Events = queue.SimpleQueue[dispatch.Event]
+
+
+class Backend(typing.Protocol):
+    """Take calls in the instance's thread; callable from any thread."""
+
+    def get_view(self) -> holder.View:
+        """Return the configuration in force."""
+
+    def get_refusal(self) -> str | None:
+        """Return why no call is taken at all, or None."""
+
+    def is_leaving(self) -> bool:
+        """Tell whether the instance is leaving."""
+
+    def begin(self) -> None:
+        """Count a request that has arrived."""
+
+    def end(self) -> None:
+        """Count a request that is done with."""
+
+    def submit(self, call: dispatch.Call, events: Events) -> None:
+        """Admit and dispatch a call; its events go to the queue."""
+
+    def cancel(self, call_id: int) -> None:
+        """End a call whose caller is gone."""
+
+    def release(self, call: dispatch.Call) -> None:
+        """Take note that a call's caller is done with."""
+
+
+Stream = collections.abc.Iterator[bytes]
--- /dev/null
+++ b/packages/bambooring/src/bambooring/callers/state.py
@@ -0,0 +1,225 @@
+"""Turn a request into a call, or refuse it, as pure state."""
+
+import collections.abc
+import dataclasses
+import hashlib
+import json
+import typing
+
+from bambooring.bookings import const as bookings_const
+from bambooring.callers import const
+from bambooring.callers import errors
+from bambooring.configuration import holder
+from bambooring.configuration import records
+from bambooring.dispatch import messages as dispatch
+from bambooring_core.dispatch import messages as wire
+from bambooring_core import settings
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Request:
+    """Hold a request as it was read; ``path`` includes the query."""
+
+    id: int
+    request_id: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Estimate:
+    """Say how much work a request is expected to be."""
+
+    lane: wire.Lane = wire.Lane.SHORT
+    cost: float = 1.0
+    prefix: int = 0
+
+
+def find_account(
+    authorization: str, view: holder.View
+) -> records.ClientAccount:
+    """Find the client account of a key.
+
+    :param authorization: the Authorization header
+    :param view: the configuration in force
+    :returns: the account
+    :raises CallerError: if there is none
+    """
+    scheme, _, key = authorization.partition(' ')
+    account = None
+    if scheme.lower() == 'bearer' and key:
+        digest = settings.compute_digest(key.strip())
+        account = view.accounts_by_digest.get(digest)
+    if account is None:
+        raise errors.CallerError(401, const.REASON_KEY_REQUIRED)
+    return account
+
+
+def make_call(
+    request: Request, account: records.ClientAccount, view: holder.View
+) -> dispatch.Call:
+    """Make the call that a request asks for.
+
+    :param request: the request
+    :param account: whose it is
+    :param view: the configuration in force
+    :returns: the call
+    :raises CallerError: if the request can't be served
+    """
+    path = request.path.partition('?')[0]
+    if path == const.PATH_CHAT:
+        return _make_chat_call(request, account, view)
+    if path.startswith(const.PATH_SERVICES):
+        return _make_service_call(request, account, view)
+    raise errors.CallerError(404, const.REASON_NO_SUCH_PATH)
+
+
+def _make_chat_call(
+    request: Request, account: records.ClientAccount, view: holder.View
+) -> dispatch.Call:
+    if request.method != 'POST':
+        raise errors.CallerError(405, const.REASON_METHOD)
+    body = _read_chat(request.body)
+    service = _find_service(str(body.get('model')), account, view)
+    if not service.is_chat:
+        raise errors.CallerError(404, const.REASON_NO_SUCH_SERVICE)
+    estimate = estimate_chat(body, service)
+    return _fill_call(
+        request,
+        account,
+        service,
+        const.PATH_CHAT,
+        wire.Kind.IDEMPOTENT,
+        estimate,
+    )
+
+
+def _read_chat(body: bytes) -> dict[str, typing.Any]:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise errors.CallerError(400, const.REASON_INVALID_BODY) from error
+    if not isinstance(value, dict):
+        raise errors.CallerError(400, const.REASON_INVALID_BODY)
+    if not isinstance(value.get('messages'), list):
+        raise errors.CallerError(400, const.REASON_INVALID_BODY)
+    return value
+
+
+def estimate_chat(
+    body: dict[str, typing.Any], service: records.Service
+) -> Estimate:
+    """Estimate the work of a chat request.
+
+    :param body: the request's body
+    :param service: the service it is for
+    :returns: its lane, its cost and its prefix
+    """
+    text = ''.join(_get_texts(body['messages']))
+    prompt = len(text) / const.CHARACTERS_PER_TOKEN
+    asked = body.get('max_completion_tokens', body.get('max_tokens'))
+    if not isinstance(asked, int) or asked < 1:
+        asked = const.DEFAULT_ANSWER_TOKENS
+    tokens = asked + prompt * const.PROMPT_TOKEN_COST
+    is_long = asked > service.long_tokens or prompt > service.long_tokens
+    return Estimate(
+        lane=wire.Lane.LONG if is_long else wire.Lane.SHORT,
+        cost=max(0.01, tokens / const.TOKENS_PER_COST),
+        prefix=_hash_prefix(text[: const.PREFIX_CHARACTERS]),
+    )
+
+
+def _get_texts(
+    items: list[typing.Any],
+) -> collections.abc.Iterator[str]:
+    for item in items:
+        if isinstance(item, dict) and isinstance(item.get('content'), str):
+            yield item['content']
+
+
+def _hash_prefix(text: str) -> int:
+    if not text:
+        return 0
+    data = text.encode('utf-8', 'surrogatepass')
+    digest = hashlib.blake2b(data, digest_size=8).digest()
+    return int.from_bytes(digest, 'little')
+
+
+def _make_service_call(
+    request: Request, account: records.ClientAccount, view: holder.View
+) -> dispatch.Call:
+    rest = request.path[len(const.PATH_SERVICES) :]
+    name = rest.partition('?')[0].partition('/')[0]
+    service = _find_service(name, account, view)
+    if service.is_chat:
+        raise errors.CallerError(404, const.REASON_NO_SUCH_SERVICE)
+    kind = wire.Kind.BOOKING
+    if request.method in service.idempotent_methods:
+        kind = wire.Kind.IDEMPOTENT
+    path = rest[len(name) :]
+    if not path.startswith('/'):
+        path = '/' + path
+    call = _fill_call(request, account, service, path, kind, Estimate())
+    if kind is wire.Kind.BOOKING:
+        call.key = _get_key(request)
+        call.digest = _compute_digest(call)
+    return call
+
+
+def _get_key(request: Request) -> str:
+    key = ''
+    for name, value in request.headers:
+        if name.lower() == const.HEADER_KEY.lower():
+            key = value
+    if len(key.encode()) > bookings_const.KEY_LIMIT_BYTES:
+        raise errors.CallerError(400, const.REASON_INVALID_KEY)
+    return key
+
+
+def _compute_digest(call: dispatch.Call) -> bytes:
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.path.encode(), call.body):
+        digest.update(len(part).to_bytes(8, 'little'))
+        digest.update(part)
+    return digest.digest()
+
+
+def _find_service(
+    name: str, account: records.ClientAccount, view: holder.View
+) -> records.Service:
+    service = view.services.get(name)
+    if service is None:
+        raise errors.CallerError(404, const.REASON_NO_SUCH_SERVICE)
+    if account.services is not None and name not in account.services:
+        raise errors.CallerError(403, const.REASON_ACCOUNT_SERVICE)
+    return service
+
+
+def _fill_call(
+    request: Request,
+    account: records.ClientAccount,
+    service: records.Service,
+    path: str,
+    kind: wire.Kind,
+    estimate: Estimate,
+) -> dispatch.Call:
+    return dispatch.Call(
+        id=request.id,
+        request_id=request.request_id,
+        account=account,
+        service=service,
+        kind=kind,
+        method=request.method,
+        path=path,
+        headers=[
+            wire.Header(name=name, value=value)
+            for name, value in request.headers
+            if name.lower() not in const.NOT_FORWARDED
+        ],
+        body=request.body,
+        lane=estimate.lane,
+        cost=estimate.cost,
+        prefix=estimate.prefix,
+    )
--- /dev/null
+++ b/packages/bambooring/src/bambooring/callers/task.py
@@ -0,0 +1,280 @@
+"""Serve callers, one thread a request."""
+
+import collections.abc
+import contextlib
+import itertools
+import queue
+import random
+import secrets
+import socket
+import time
+import typing
+
+import structlog
+import werkzeug.wrappers
+
+from bambooring.callers import answers
+from bambooring.callers import const
+from bambooring.callers import errors
+from bambooring.callers import messages
+from bambooring.callers import state
+from bambooring.dispatch import messages as dispatch
+from bambooring import metrics
+from bambooring_core.dispatch import messages as wire
+from bambooring_core import http
+
+LOG = structlog.get_logger(__name__)
+
+Request = werkzeug.wrappers.Request
+Response = werkzeug.wrappers.Response
+
+
+class Application:
+    """Answer each request from the events of its call."""
+
+    def __init__(self, backend: messages.Backend, max_body_bytes: int) -> None:
+        self._backend = backend
+        self._max_body_bytes = max_body_bytes
+        self._ids = itertools.count(1)
+        self._rng = random.Random()
+
+    def __call__(
+        self, environ: dict, start_response: typing.Any
+    ) -> collections.abc.Iterable[bytes]:
+        """Answer one request."""
+        request_id = secrets.token_hex(8)
+        self._backend.begin()
+        try:
+            response = self._answer(environ, request_id)
+        except BaseException:
+            self._backend.end()
+            raise
+        if self._backend.is_leaving():
+            response.headers['Connection'] = 'close'
+        response.call_on_close(self._backend.end)
+        return response(environ, start_response)
+
+    def make_unread_error(
+        self, status: int, reason: str
+    ) -> tuple[bytes, list[tuple[str, str]]]:
+        """Make the answer to a request that could not be read."""
+        request_id = secrets.token_hex(8)
+        failure = dispatch.Failure(
+            status=status, reason=reason, outcome=wire.Outcome.NOT_RUN
+        )
+        answers.count_refusal(failure)
+        body = answers.make_body(status, reason, failure.outcome, request_id)
+        headers = answers.make_headers(
+            reason, failure.outcome, request_id, 0.0, self._rng
+        )
+        return body, headers
+
+    def _answer(self, environ: dict, request_id: str) -> Response:
+        arrived = time.monotonic()
+        try:
+            call = self._read_call(environ, request_id)
+        except errors.CallerError as error:
+            failure = answers.make_failure(error)
+            response = answers.make_error(failure, request_id, self._rng)
+            response.headers['Connection'] = 'close'
+            return response
+        exchange = Exchange(
+            backend=self._backend,
+            call=call,
+            sock=environ[http.SOCKET_KEY],
+            arrived=arrived,
+            rng=self._rng,
+        )
+        return exchange.answer()
+
+    def _read_call(self, environ: dict, request_id: str) -> dispatch.Call:
+        refusal = self._backend.get_refusal()
+        if refusal is not None:
+            raise errors.CallerError(503, refusal, 1.0)
+        view = self._backend.get_view()
+        request = Request(environ)
+        account = state.find_account(
+            request.headers.get('Authorization', ''), view
+        )
+        read = state.Request(
+            id=next(self._ids),
+            request_id=request_id,
+            method=request.method,
+            path=_get_path(environ),
+            headers=list(request.headers),
+            body=self._read_body(environ),
+        )
+        call = state.make_call(read, account, view)
+        is_old = environ.get('SERVER_PROTOCOL') == 'HTTP/1.0'
+        if is_old and call.service.is_chat:
+            raise errors.CallerError(505, const.REASON_PROTOCOL)
+        return call
+
+    def _read_body(self, environ: dict) -> bytes:
+        stream = environ['wsgi.input']
+        is_chunked = environ.get('wsgi.input_terminated', False)
+        length = environ.get('CONTENT_LENGTH')
+        if is_chunked and length is not None:
+            raise errors.CallerError(400, const.REASON_AMBIGUOUS_LENGTH)
+        if is_chunked:
+            return self._read_chunked(stream)
+        expected = int(length or 0)
+        body = stream.read(expected) if expected > 0 else b''
+        if len(body) < expected:
+            raise errors.CallerError(400, const.REASON_INCOMPLETE_BODY)
+        return body
+
+    def _read_chunked(self, stream: typing.Any) -> bytes:
+        parts = []
+        size = 0
+        try:
+            while part := stream.read(const.READ_BYTES):
+                size += len(part)
+                if size > self._max_body_bytes:
+                    raise errors.CallerError(413, const.REASON_TOO_LARGE)
+                parts.append(part)
+        except (ValueError, EOFError) as error:
+            raise errors.CallerError(
+                400, const.REASON_INCOMPLETE_BODY
+            ) from error
+        return b''.join(parts)
+
+
+def _get_path(environ: dict) -> str:
+    """Return the path and query as they were sent."""
+    uri = environ['REQUEST_URI']
+    if not uri.startswith('/'):
+        raise errors.CallerError(400, const.REASON_NO_SUCH_PATH)
+    if any(ord(letter) <= 32 or ord(letter) > 126 for letter in uri):
+        raise errors.CallerError(400, const.REASON_NO_SUCH_PATH)
+    return uri
+
+
+class Exchange:
+    """Hold one call's way from its events to its answer."""
+
+    def __init__(
+        self,
+        *,
+        backend: messages.Backend,
+        call: dispatch.Call,
+        sock: socket.socket,
+        arrived: float,
+        rng: random.Random,
+    ) -> None:
+        self._backend = backend
+        self._call = call
+        self._socket = sock
+        self._arrived = arrived
+        self._rng = rng
+        self._events: messages.Events = queue.SimpleQueue()
+        self._is_over = False
+        self._is_released = False
+
+    def answer(self) -> Response:
+        """Submit the call and answer by its first events."""
+        self._backend.submit(self._call, self._events)
+        try:
+            first = self._wait()
+            if isinstance(first, dispatch.Failure):
+                return self._refuse(first)
+            assert isinstance(first, dispatch.Head)
+            metrics.FIRST_BYTE_S.labels(
+                service=self._call.service.name
+            ).observe(time.monotonic() - self._arrived)
+            if answers.is_stream(first):
+                return self._stream(first, [])
+            return self._collect(first)
+        except BaseException:
+            self._end()
+            raise
+
+    def _refuse(self, failure: dispatch.Failure) -> Response:
+        self._end()
+        self._log(failure)
+        return answers.make_error(failure, self._call.request_id, self._rng)
+
+    def _collect(self, head: dispatch.Head) -> Response:
+        """Answer in one piece, unless the body is too large for it."""
+        parts: list[bytes] = []
+        size = 0
+        while size <= const.WHOLE_LIMIT_BYTES:
+            event = self._wait()
+            match event:
+                case dispatch.Data():
+                    parts.append(event.data)
+                    size += len(event.data)
+                case dispatch.Finished():
+                    self._finish()
+                    return answers.make_response(
+                        head, b''.join(parts), self._call.request_id
+                    )
+                case dispatch.Failure():
+                    return self._refuse(event)
+        return self._stream(head, parts)
+
+    def _stream(self, head: dispatch.Head, parts: list[bytes]) -> Response:
+        response = answers.make_response(
+            head,
+            self._generate(parts, answers.is_stream(head)),
+            self._call.request_id,
+        )
+        response.call_on_close(self._end)
+        return response
+
+    def _generate(
+        self, parts: list[bytes], is_events: bool
+    ) -> messages.Stream:
+        """Yield the body; break off if the call fails."""
+        yield from parts
+        while True:
+            event = self._wait()
+            match event:
+                case dispatch.Data():
+                    yield event.data
+                case dispatch.Finished():
+                    self._finish()
+                    return
+                case dispatch.Failure():
+                    self._log(event)
+                    answers.count_refusal(event)
+                    if is_events:
+                        yield answers.make_error_event(
+                            event, self._call.request_id
+                        )
+                    raise errors.AnswerCutError(event.reason)
+
+    def _wait(self) -> dispatch.Event:
+        """Return the next event, watching that the caller stays."""
+        while True:
+            with contextlib.suppress(queue.Empty):
+                return self._events.get(timeout=const.WATCH_INTERVAL_S)
+            if http.is_closed(self._socket):
+                raise errors.AnswerCutError('caller_gone')
+
+    def _finish(self) -> None:
+        metrics.REQUESTS.labels(service=self._call.service.name).inc()
+        metrics.WHOLE_S.labels(service=self._call.service.name).observe(
+            time.monotonic() - self._arrived
+        )
+        self._is_over = True
+        self._end()
+
+    def _end(self) -> None:
+        """Release the call once, cancelling it if it is not over."""
+        if self._is_released:
+            return
+        self._is_released = True
+        if not self._is_over:
+            self._backend.cancel(self._call.id)
+        self._backend.release(self._call)
+
+    def _log(self, failure: dispatch.Failure) -> None:
+        LOG.info(
+            'request failed',
+            request=self._call.request_id,
+            service=self._call.service.name,
+            account=self._call.account.name,
+            reason=failure.reason,
+            outcome=failure.outcome.value,
+        )
--- /dev/null
+++ b/packages/bambooring/src/bambooring/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accept, spread and put in force the configuration records."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/configuration/holder.py
@@ -0,0 +1,144 @@
+"""Hold records on an entry instance and put them in force in two rounds.
+
+A revision is held first. It is in force once every other live entry
+instance of the failure domain holds it too. So an instance that restarts
+inside a cut-off domain finds, at any neighbour, all that was in force.
+"""
+
+import dataclasses
+import typing
+
+import structlog
+
+from bambooring.configuration import const
+from bambooring.configuration import errors
+from bambooring.configuration import messages
+from bambooring.configuration import records as records_module
+from bambooring.configuration import state
+
+LOG = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class View:
+    """Hold the configuration in force; never changed once made."""
+
+    revision: int = 0
+    services: dict[str, records_module.Service] = dataclasses.field(
+        default_factory=dict
+    )
+    accounts: dict[str, records_module.ClientAccount] = dataclasses.field(
+        default_factory=dict
+    )
+    accounts_by_digest: dict[str, records_module.ClientAccount] = (
+        dataclasses.field(default_factory=dict)
+    )
+    groups: dict[str, records_module.ModelGroup] = dataclasses.field(
+        default_factory=dict
+    )
+    unknown_schemas: int = 0
+
+
+class Holder:
+    """Hold what an entry instance knows of the configuration."""
+
+    def __init__(self) -> None:
+        self.held = 0
+        self.records: dict[state.Key, messages.Record] = {}
+        self.view = View()
+        self._objects: dict[state.Key, typing.Any] = {}
+        self._ready_at: float | None = None
+
+    @property
+    def in_force(self) -> int:
+        """Return the revision in force."""
+        return self.view.revision
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether the instance may serve by what it has.
+
+        :param now: the current time in seconds
+        :returns: True once a source has answered and others had the time
+        """
+        return self._ready_at is not None and now >= self._ready_at
+
+    def receive(self, message: messages.Records, now: float) -> bool:
+        """Take records from a control replica or a neighbour.
+
+        :param message: the records
+        :param now: the current time in seconds
+        :returns: False if the sender must begin at an earlier revision
+        """
+        if message.since > self.held:
+            return False
+        if self._ready_at is None:
+            self._ready_at = now + const.SETTLE_S
+        if message.revision <= self.held:
+            return True
+        for record in message.records:
+            key = (record.kind, record.name)
+            known = self.records.get(key)
+            if known is None or record.revision > known.revision:
+                self.records[key] = record
+        self.held = message.revision
+        return True
+
+    def get_since(self, revision: int) -> messages.Records:
+        """Return the records that are newer than a revision."""
+        return state.select_since(self.records, revision, self.held)
+
+    def advance(self, neighbours_held: list[int], now: float) -> bool:
+        """Put the held revision in force if all neighbours hold it.
+
+        :param neighbours_held: the revisions that the other live entry
+            instances of the failure domain hold
+        :param now: the current time in seconds
+        :returns: True if a newer revision is in force now
+        """
+        if self.held <= self.in_force or not self.is_ready(now):
+            return False
+        if any(held < self.held for held in neighbours_held):
+            return False
+        self.view = self._build_view()
+        return True
+
+    def _build_view(self) -> View:
+        view = View(revision=self.held)
+        for key, record in self.records.items():
+            self._parse(key, record, view)
+        for item in self._objects.values():
+            _add(item, view)
+        return view
+
+    def _parse(
+        self, key: state.Key, record: messages.Record, view: View
+    ) -> None:
+        """Parse one record, keeping the last version understood."""
+        if record.is_deleted:
+            self._objects.pop(key, None)
+            return
+        if record.revision <= self.in_force:
+            if key in self._objects:
+                return
+        try:
+            self._objects[key] = records_module.parse(record.content)
+        except errors.ConfigurationError as error:
+            view.unknown_schemas += 1
+            LOG.warning(
+                'record kept but not understood',
+                kind=record.kind,
+                name=record.name,
+                error=str(error),
+            )
+
+
+def _add(item: typing.Any, view: View) -> None:
+    match item:
+        case records_module.Service():
+            view.services[item.name] = item
+        case records_module.ClientAccount():
+            view.accounts[item.name] = item
+            for key in item.keys:
+                view.accounts_by_digest[key.digest] = item
+        case records_module.ModelGroup():
+            view.groups[item.name] = item
--- /dev/null
+++ b/packages/bambooring/src/bambooring/configuration/records.py
@@ -0,0 +1,182 @@
+"""Turn records as written into the objects that are in force.
+
+Each schema version has a class of its own. :func:`upgrade` turns an older
+one into the newest, so that both can stand side by side in the store.
+"""
+
+import dataclasses
+import functools
+import json
+import pathlib
+import typing
+
+from bambooring.configuration import const
+from bambooring.configuration import errors
+from bambooring.configuration import schema
+from bambooring_core import errors as core_errors
+from bambooring_core import settings
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ClientAccountV1:
+    """Hold a client account as schema 1 wrote it."""
+
+    name: str
+    key_digest: str
+    weight: float
+    max_in_flight: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class AccountKey:
+    """Hold the digest of one key."""
+
+    digest: str
+    label: str = ''
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class AccountLimits:
+    """Bound what a client account may ask at once."""
+
+    in_flight: int = const.DEFAULT_IN_FLIGHT
+    requests_per_s: float = const.DEFAULT_REQUESTS_PER_S
+    burst: int = const.DEFAULT_BURST
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ClientAccount:
+    """Hold a client account; ``services`` is None for all of them."""
+
+    name: str
+    keys: tuple[AccountKey, ...]
+    weight: float = 1.0
+    priority: int = 0
+    services: frozenset[str] | None = None
+    limits: AccountLimits = AccountLimits()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Service:
+    """Hold a service; times in seconds."""
+
+    name: str
+    protocol: str
+    idempotent_methods: frozenset[str]
+    start_within_s: float
+    end_within_s: float
+    long_tokens: int
+
+    @property
+    def is_chat(self) -> bool:
+        """Tell whether the service speaks chat completions."""
+        return self.protocol == const.PROTOCOL_CHAT
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class ModelGroup:
+    """Hold a group of ranks that run in lock-step."""
+
+    name: str
+    service: str
+    ranks: int
+    layers: int
+    experts_per_layer: int
+    slots_per_rank: int
+    moves_per_s: float
+    engine_holds_step: bool
+    engine_checks_fencing: bool
+
+
+@functools.singledispatch
+def upgrade(record: typing.Any) -> typing.Any:
+    """Turn a record of any known version into the newest.
+
+    :param record: a record's object
+    :returns: the object of the newest version
+    """
+    return record
+
+
+@upgrade.register
+def _upgrade_client_account(record: ClientAccountV1) -> ClientAccount:
+    return ClientAccount(
+        name=record.name,
+        keys=(AccountKey(digest=record.key_digest),),
+        weight=record.weight,
+        limits=AccountLimits(in_flight=record.max_in_flight),
+    )
+
+
+def check(value: typing.Any, path: pathlib.Path) -> dict[str, typing.Any]:
+    """Check a declaration by its kind and schema version.
+
+    :param value: the declaration
+    :param path: where it came from, for the error
+    :returns: the declaration with defaults filled in
+    :raises InvalidRecordError: naming file, key path and expectation
+    :raises UnknownSchemaError: if the version is not known here
+    """
+    if not isinstance(value, dict):
+        raise errors.InvalidRecordError(f'{path}: expected an object')
+    versions = schema.SCHEMAS.get(value.get(const.ATTR_KIND, ''))
+    if versions is None:
+        kinds = ', '.join(sorted(schema.SCHEMAS))
+        raise errors.InvalidRecordError(
+            f'{path}: {const.ATTR_KIND}: expected one of {kinds}'
+        )
+    version = value.get(const.ATTR_SCHEMA)
+    if not isinstance(version, int) or isinstance(version, bool):
+        raise errors.InvalidRecordError(
+            f'{path}: {const.ATTR_SCHEMA}: expected a schema version'
+        )
+    if version not in versions:
+        known = ', '.join(str(number) for number in versions)
+        raise errors.UnknownSchemaError(
+            f'{path}: {const.ATTR_SCHEMA}: expected one of {known}'
+        )
+    try:
+        return settings.check(value, versions[version], path)
+    except core_errors.SettingsError as error:
+        raise errors.InvalidRecordError(str(error)) from error
+
+
+def parse(content: bytes) -> typing.Any:
+    """Parse a record's content into the newest object.
+
+    :param content: the record in JSON
+    :returns: a :class:`ClientAccount`, :class:`Service` or
+        :class:`ModelGroup`
+    :raises InvalidRecordError: if its schema refuses it
+    :raises UnknownSchemaError: if the version is not known here
+    """
+    try:
+        value = json.loads(content)
+    except ValueError as error:
+        raise errors.InvalidRecordError(str(error)) from error
+    checked = check(value, pathlib.Path('record'))
+    kind = (checked.pop(const.ATTR_KIND), checked.pop(const.ATTR_SCHEMA))
+    return upgrade(_BUILDERS[kind](checked))
+
+
+def _build_client_account(value: dict) -> ClientAccount:
+    value[const.CONF_KEYS] = tuple(
+        AccountKey(**key) for key in value[const.CONF_KEYS]
+    )
+    if value[const.CONF_SERVICES] is not None:
+        value[const.CONF_SERVICES] = frozenset(value[const.CONF_SERVICES])
+    value[const.CONF_LIMITS] = AccountLimits(**value[const.CONF_LIMITS])
+    return ClientAccount(**value)
+
+
+def _build_service(value: dict) -> Service:
+    methods = frozenset(value[const.CONF_IDEMPOTENT])
+    return Service(**(value | {const.CONF_IDEMPOTENT: methods}))
+
+
+_BUILDERS: dict[tuple[str, int], typing.Any] = {
+    (const.KIND_CLIENT_ACCOUNT, 1): lambda value: ClientAccountV1(**value),
+    (const.KIND_CLIENT_ACCOUNT, 2): _build_client_account,
+    (const.KIND_SERVICE, 1): _build_service,
+    (const.KIND_MODEL_GROUP, 1): lambda value: ModelGroup(**value),
+}
--- /dev/null
+++ b/packages/bambooring/src/bambooring/configuration/state.py
@@ -0,0 +1,148 @@
+"""Accept changes and keep the records, as control replicas do."""
+
+import collections.abc
+import hashlib
+import typing
+
+from bambooring.configuration import const
+from bambooring.configuration import messages
+from bambooring_core import codec
+
+Key = tuple[str, str]
+
+
+class Store:
+    """Hold every record and the answers to recent changes."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.records: dict[Key, messages.Record] = {}
+        self._answers: dict[str, messages.ChangeAnswer] = {}
+        self._winners: dict[Key, str] = {}
+
+    def apply(self, change: messages.Change) -> messages.ChangeAnswer:
+        """Accept or refuse a change.
+
+        :param change: the change
+        :returns: its answer, the first one if it was answered before
+        """
+        digest = hashlib.sha256(codec.encode(change)).digest()
+        known = self._answers.get(change.change)
+        if known is not None:
+            return self._repeat(known, digest)
+        conflicts = list(self._find_conflicts(change))
+        if conflicts:
+            answer = messages.ChangeAnswer(
+                change=change.change,
+                digest=digest,
+                outcome=messages.ChangeOutcome.CONFLICT,
+                revision=self.revision,
+                conflicts=conflicts,
+            )
+        else:
+            self._accept(change)
+            answer = messages.ChangeAnswer(
+                change=change.change,
+                digest=digest,
+                outcome=messages.ChangeOutcome.ACCEPTED,
+                revision=self.revision,
+            )
+        self._remember(answer)
+        return answer
+
+    def _repeat(
+        self, known: messages.ChangeAnswer, digest: bytes
+    ) -> messages.ChangeAnswer:
+        if known.digest == digest:
+            return known
+        return messages.ChangeAnswer(
+            change=known.change,
+            digest=digest,
+            outcome=messages.ChangeOutcome.MISMATCH,
+            revision=self.revision,
+        )
+
+    def _remember(self, answer: messages.ChangeAnswer) -> None:
+        self._answers[answer.change] = answer
+        while len(self._answers) > const.CHANGES_KEPT:
+            del self._answers[next(iter(self._answers))]
+
+    def _find_conflicts(
+        self, change: messages.Change
+    ) -> collections.abc.Iterator[messages.Conflict]:
+        for edit in change.edits:
+            key = (edit.kind, edit.name)
+            record = self.records.get(key)
+            number = record.number if record else 0
+            if edit.expected != number:
+                yield messages.Conflict(
+                    kind=edit.kind,
+                    name=edit.name,
+                    expected=edit.expected,
+                    number=number,
+                    winner=self._winners.get(key, ''),
+                )
+
+    def _accept(self, change: messages.Change) -> None:
+        self.revision += 1
+        for edit in change.edits:
+            key = (edit.kind, edit.name)
+            self._winners[key] = change.change
+            self.records[key] = messages.Record(
+                kind=edit.kind,
+                name=edit.name,
+                number=edit.expected + 1,
+                revision=self.revision,
+                content=edit.content,
+                is_deleted=edit.is_deleted,
+            )
+
+    def get_since(self, revision: int) -> messages.Records:
+        """Return what changed after a revision.
+
+        :param revision: what the receiver has
+        :returns: the records that are newer
+        """
+        return select_since(self.records, revision, self.revision)
+
+    def save(self) -> collections.abc.Iterator[typing.Any]:
+        """Yield messages that hold the whole state."""
+        yield messages.StoreHead(revision=self.revision)
+        yield from self.records.values()
+        for (kind, name), change in self._winners.items():
+            yield messages.Winner(kind=kind, name=name, change=change)
+        yield from self._answers.values()
+
+    def restore(self, message: typing.Any) -> bool:
+        """Take back one message that :meth:`save` yielded.
+
+        :param message: the message
+        :returns: False if it is not one of these
+        """
+        match message:
+            case messages.StoreHead():
+                self.revision = message.revision
+            case messages.Record():
+                self.records[message.kind, message.name] = message
+            case messages.Winner():
+                key = (message.kind, message.name)
+                self._winners[key] = message.change
+            case messages.ChangeAnswer():
+                self._answers[message.change] = message
+            case _:
+                return False
+        return True
+
+
+def select_since(
+    records: dict[Key, messages.Record], since: int, revision: int
+) -> messages.Records:
+    """Select the records that are newer than a revision.
+
+    :param records: all records
+    :param since: what the receiver has
+    :param revision: what the sender has
+    :returns: the message to send
+    """
+    newer = [record for record in records.values() if record.revision > since]
+    return messages.Records(since=since, revision=revision, records=newer)
--- /dev/null
+++ b/packages/bambooring/src/bambooring/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Carry each call through its attempts to one whole answer."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/dispatch/state.py
@@ -0,0 +1,703 @@
+"""Carry calls through attempts, as pure state.
+
+An answer is taken from one attempt only, in the order of its offsets. An
+attempt is followed by another only where its agent has proved that it did
+not run, or where the call is idempotent and no byte has reached its caller.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from bambooring.bookings import const as bookings_const
+from bambooring.bookings import messages as bookings
+from bambooring.dispatch import const
+from bambooring.dispatch import messages
+from bambooring import metrics
+from bambooring.routing import budget as budget_module
+from bambooring.routing import messages as routing_messages
+from bambooring.routing import state as routing
+from bambooring_core.dispatch import messages as wire
+
+Effects = collections.abc.Iterator[messages.Effect]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Attempt:
+    """Hold one try of a call on one target."""
+
+    id: int
+    target: str
+    incarnation: int
+    received: int = 0
+    acknowledged: int = 0
+    lost_at: float | None = None
+    head: wire.Opened | None = None
+    parts: list[bytes] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Running:
+    """Hold a call's progress."""
+
+    call: messages.Call
+    arrived: float
+    claim: int = 0
+    attempt: Attempt | None = None
+    tried: set[str] = dataclasses.field(default_factory=set)
+    attempts: int = 0
+    error_retries: int = 0
+    is_released: bool = False
+    is_settling: bool = False
+    has_caller: bool = True
+    has_run: bool = False
+
+    @property
+    def is_claimed(self) -> bool:
+        """Tell whether the call is a booking with a claim."""
+        return bool(self.call.key)
+
+    @property
+    def start_by(self) -> float:
+        """Return when the call must have started, in seconds."""
+        return self.arrived + self.call.service.start_within_s
+
+    @property
+    def end_by(self) -> float:
+        """Return when the call must have ended, in seconds."""
+        return self.arrived + self.call.service.end_within_s
+
+
+class Dispatcher:
+    """Hold every call in progress on one entry instance."""
+
+    def __init__(
+        self, *, router: routing.Router, rng: random.Random, now: float
+    ) -> None:
+        self._router = router
+        self._rng = rng
+        self._budget = budget_module.RetryBudget(now)
+        self._calls: dict[int, _Running] = {}
+        self._by_attempt: dict[int, _Running] = {}
+        self._orphans: dict[int, Attempt] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def submit(self, call: messages.Call, now: float) -> Effects:
+        """Begin a call.
+
+        :param call: the admitted call
+        :param now: the current time in seconds
+        :returns: the effects
+        """
+        running = _Running(call=call, arrived=now)
+        self._calls[call.id] = running
+        if not running.is_claimed:
+            yield from self._try(running, now)
+            return
+        running.claim = self._draw_id()
+        claim = bookings.Claim(
+            account=call.account.name,
+            service=call.service.name,
+            key=call.key,
+            digest=call.digest,
+            claim=running.claim,
+        )
+        yield messages.Propose(
+            call=call.id,
+            command=claim,
+            timeout_s=bookings_const.CLAIM_TIMEOUT_S,
+        )
+
+    def _draw_id(self) -> int:
+        return self._rng.getrandbits(63) | 1
+
+    def answer_proposal(
+        self, call_id: int, answer: typing.Any, now: float
+    ) -> Effects:
+        """Take the answer to a claim or a settlement.
+
+        :param call_id: whose it is
+        :param answer: the answer, or None if none came in time
+        :param now: the current time in seconds
+        :returns: the effects
+        """
+        running = self._calls.get(call_id)
+        if running is None:
+            return
+        if running.is_settling:
+            if answer is None:
+                yield self._make_settle(
+                    running, 0, bookings_const.RELEASE_TIMEOUT_S
+                )
+            yield from self._finish_settled(running, now)
+        elif answer is None:
+            yield from self._release_claim(running)
+            yield from self._fail(
+                running,
+                503,
+                const.REASON_CLAIM_TIMEOUT,
+                wire.Outcome.NOT_RUN,
+                now,
+                1.0,
+            )
+        else:
+            yield from self._take_claim(running, answer, now)
+
+    def _take_claim(
+        self, running: _Running, answer: bookings.ClaimAnswer, now: float
+    ) -> Effects:
+        match answer.outcome:
+            case bookings.ClaimOutcome.GRANTED:
+                yield from self._try(running, now)
+            case bookings.ClaimOutcome.SETTLED:
+                yield from self._repeat(running, answer, now)
+            case bookings.ClaimOutcome.HELD:
+                yield from self._fail(
+                    running,
+                    409,
+                    const.REASON_BOOKING_HELD,
+                    wire.Outcome.UNKNOWN,
+                    now,
+                    1.0,
+                )
+            case bookings.ClaimOutcome.MISMATCH:
+                yield from self._fail(
+                    running,
+                    422,
+                    const.REASON_CLAIM_MISMATCH,
+                    wire.Outcome.NOT_RUN,
+                    now,
+                )
+            case bookings.ClaimOutcome.FULL:
+                yield from self._fail(
+                    running,
+                    503,
+                    const.REASON_CLAIM_FULL,
+                    wire.Outcome.NOT_RUN,
+                    now,
+                    10.0,
+                )
+            case bookings.ClaimOutcome.RELEASED:
+                yield from self._fail(
+                    running,
+                    503,
+                    const.REASON_CLAIM_RELEASED,
+                    wire.Outcome.NOT_RUN,
+                    now,
+                    1.0,
+                )
+
+    def _repeat(
+        self, running: _Running, answer: bookings.ClaimAnswer, now: float
+    ) -> Effects:
+        """Give the recorded answer again."""
+        head = messages.Head(status=answer.status, headers=answer.headers)
+        yield from self._tell(running, head)
+        if answer.body:
+            yield from self._tell(running, messages.Data(data=answer.body))
+        yield from self._finish(running)
+
+    def _release_claim(self, running: _Running) -> Effects:
+        if not running.claim:
+            return
+        release = bookings.Release(
+            account=running.call.account.name,
+            service=running.call.service.name,
+            key=running.call.key,
+            claim=running.claim,
+        )
+        yield messages.Propose(
+            call=0,
+            command=release,
+            timeout_s=bookings_const.RELEASE_TIMEOUT_S,
+        )
+
+    def _try(self, running: _Running, now: float) -> Effects:
+        """Send the call to a target, or fail it."""
+        call = running.call
+        wish = routing_messages.Wish(
+            service=call.service.name,
+            excluded=running.tried,
+            prefix=call.prefix,
+            cost=call.cost,
+        )
+        target = self._router.choose(wish, now)
+        if target is None:
+            yield from self._fail_not_run(
+                running, const.REASON_NO_TARGET, now, 1.0
+            )
+            return
+        attempt = Attempt(
+            id=self._draw_id(),
+            target=target.name,
+            incarnation=target.incarnation,
+        )
+        running.attempt = attempt
+        running.attempts += 1
+        self._by_attempt[attempt.id] = running
+        self._router.begin(target.name)
+        start = self._make_start(running, attempt, now)
+        yield messages.ToTarget(target=target.name, message=start)
+
+    def _make_start(
+        self, running: _Running, attempt: Attempt, now: float
+    ) -> wire.Start:
+        call = running.call
+        return wire.Start(
+            attempt=attempt.id,
+            incarnation=attempt.incarnation,
+            request_id=call.request_id,
+            service=call.service.name,
+            account=call.account.name,
+            weight=call.account.weight,
+            priority=call.account.priority,
+            kind=call.kind,
+            lane=call.lane,
+            cost=call.cost,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            start_within_s=max(0.0, running.start_by - now),
+            end_within_s=max(0.0, running.end_by - now),
+            is_chat=call.service.is_chat,
+            prefix=call.prefix,
+        )
+
+    def refuse(
+        self, refused: wire.Refused, sender: str, now: float
+    ) -> Effects:
+        """Take an agent's proof that an attempt did not run.
+
+        :param refused: the proof
+        :param sender: the target whose agent sent it
+        :param now: the current time in seconds
+        :returns: the effects
+        """
+        running = self._find(refused.attempt, sender)
+        if running is None:
+            return
+        self._close_attempt(running, is_failure=False, now=now)
+        yield from self._retry_not_run(
+            running, refused.reason, refused.retry_after_s, now
+        )
+
+    def _retry_not_run(
+        self,
+        running: _Running,
+        reason: str,
+        retry_after_s: float,
+        now: float,
+    ) -> Effects:
+        if now >= running.start_by:
+            reason = const.REASON_START_DEADLINE
+        elif running.attempts < const.ATTEMPTS_LIMIT:
+            if self._budget.take(now):
+                metrics.RETRIES.labels(reason=reason).inc()
+                yield from self._try(running, now)
+                return
+            metrics.RETRIES_DENIED.inc()
+        yield from self._fail_not_run(running, reason, now, retry_after_s)
+
+    def _find(self, attempt_id: int, sender: str) -> _Running | None:
+        running = self._by_attempt.get(attempt_id)
+        if running is None or running.attempt is None:
+            return None
+        if running.attempt.target != sender:
+            return None
+        return running
+
+    def _close_attempt(
+        self, running: _Running, *, is_failure: bool, now: float
+    ) -> None:
+        attempt = running.attempt
+        if attempt is None:
+            return
+        running.attempt = None
+        running.tried.add(attempt.target)
+        del self._by_attempt[attempt.id]
+        self._router.end(attempt.target, is_failure, now)
+
+    def receive(self, output: wire.Output, sender: str, now: float) -> Effects:
+        """Take what an agent's targets brought.
+
+        :param output: heads, chunks and ends of attempts
+        :param sender: the target whose agent sent it
+        :param now: the current time in seconds
+        :returns: the effects
+        """
+        for opened in output.opened:
+            running = self._find(opened.attempt, sender)
+            if running is not None and running.attempt is not None:
+                running.attempt.head = opened
+        for chunk in output.chunks:
+            running = self._find(chunk.attempt, sender)
+            if running is not None:
+                yield from self._take_chunk(running, chunk)
+        for ended in output.ended:
+            running = self._find(ended.attempt, sender)
+            if running is not None:
+                yield from self._take_end(running, ended, now)
+
+    def _take_chunk(self, running: _Running, chunk: wire.Chunk) -> Effects:
+        attempt = running.attempt
+        assert attempt is not None
+        if attempt.head is None or chunk.offset > attempt.received:
+            yield self._make_resume(attempt)
+            return
+        data = chunk.data[attempt.received - chunk.offset :]
+        if not data:
+            return
+        attempt.received += len(data)
+        if self._is_collected(running):
+            attempt.parts.append(data)
+        else:
+            yield from self._release(running)
+            yield from self._tell(running, messages.Data(data=data))
+        yield from self._acknowledge(attempt)
+
+    def _is_collected(self, running: _Running) -> bool:
+        """Tell whether the body is kept back until its end.
+
+        That of a claimed booking is recorded first; that of an error may
+        be replaced by another target's answer.
+        """
+        if running.is_claimed:
+            return True
+        head = running.attempt.head if running.attempt else None
+        if head is None or head.status < 500 or running.is_released:
+            return False
+        assert running.attempt is not None
+        return running.attempt.received <= const.ERROR_BODY_BYTES
+
+    def _release(self, running: _Running) -> Effects:
+        """Begin the answer to the caller, with what was kept back."""
+        if running.is_released:
+            return
+        attempt = running.attempt
+        assert attempt is not None
+        assert attempt.head is not None
+        running.is_released = True
+        head = messages.Head(
+            status=attempt.head.status, headers=attempt.head.headers
+        )
+        yield from self._tell(running, head)
+        for part in attempt.parts:
+            yield from self._tell(running, messages.Data(data=part))
+        attempt.parts = []
+
+    def _acknowledge(self, attempt: Attempt) -> Effects:
+        unacknowledged = attempt.received - attempt.acknowledged
+        if unacknowledged < const.ACKNOWLEDGE_BYTES:
+            return
+        attempt.acknowledged = attempt.received
+        yield messages.ToTarget(
+            target=attempt.target,
+            message=wire.Acknowledge(
+                attempt=attempt.id, offset=attempt.received
+            ),
+        )
+
+    def _make_resume(self, attempt: Attempt) -> messages.ToTarget:
+        return messages.ToTarget(
+            target=attempt.target,
+            message=wire.Resume(
+                attempt=attempt.id,
+                incarnation=attempt.incarnation,
+                offset=attempt.received,
+            ),
+        )
+
+    def _take_end(
+        self, running: _Running, ended: wire.Ended, now: float
+    ) -> Effects:
+        attempt = running.attempt
+        assert attempt is not None
+        is_complete = ended.outcome is wire.Outcome.COMPLETE
+        if is_complete and not self._has_all(attempt, ended):
+            yield self._make_resume(attempt)
+            return
+        yield messages.ToTarget(
+            target=attempt.target,
+            message=wire.Acknowledge(
+                attempt=attempt.id, offset=ended.size, is_final=True
+            ),
+        )
+        if is_complete:
+            yield from self._complete(running, now)
+        else:
+            yield from self._take_failure(
+                running, ended.outcome, ended.reason, now
+            )
+
+    def _has_all(self, attempt: Attempt, ended: wire.Ended) -> bool:
+        return attempt.head is not None and attempt.received == ended.size
+
+    def _complete(self, running: _Running, now: float) -> Effects:
+        attempt = running.attempt
+        assert attempt is not None
+        assert attempt.head is not None
+        is_error = attempt.head.status >= 500
+        if is_error and self._may_replace_error(running, now):
+            self._close_attempt(running, is_failure=True, now=now)
+            metrics.RETRIES.labels(reason=const.REASON_TARGET_ERROR).inc()
+            running.error_retries += 1
+            running.has_run = True
+            yield from self._try(running, now)
+            return
+        if running.is_claimed:
+            yield from self._settle(running)
+            return
+        yield from self._release(running)
+        self._close_attempt(running, is_failure=is_error, now=now)
+        if not is_error:
+            self._budget.earn()
+        yield from self._finish(running)
+
+    def _may_replace_error(self, running: _Running, now: float) -> bool:
+        if running.call.kind is not wire.Kind.IDEMPOTENT:
+            return False
+        if running.is_released or running.error_retries:
+            return False
+        attempt = running.attempt
+        assert attempt is not None
+        wish = routing_messages.Wish(
+            service=running.call.service.name,
+            excluded=running.tried | {attempt.target},
+        )
+        if self._router.choose(wish, now) is None:
+            return False
+        return now < running.start_by and self._budget.take(now)
+
+    def _settle(self, running: _Running) -> Effects:
+        """Record a booking's answer before its caller hears it."""
+        running.is_settling = True
+        yield self._make_settle(
+            running, running.call.id, bookings_const.SETTLE_TIMEOUT_S
+        )
+
+    def _make_settle(
+        self, running: _Running, call_id: int, timeout_s: float
+    ) -> messages.Propose:
+        attempt = running.attempt
+        assert attempt is not None
+        assert attempt.head is not None
+        body = b''.join(attempt.parts)
+        is_kept = len(body) <= bookings_const.BODY_LIMIT_BYTES
+        settle = bookings.Settle(
+            account=running.call.account.name,
+            service=running.call.service.name,
+            key=running.call.key,
+            claim=running.claim,
+            status=attempt.head.status,
+            headers=attempt.head.headers,
+            body=body if is_kept else b'',
+            is_body_kept=is_kept,
+        )
+        return messages.Propose(
+            call=call_id, command=settle, timeout_s=timeout_s
+        )
+
+    def _finish_settled(self, running: _Running, now: float) -> Effects:
+        yield from self._release(running)
+        self._close_attempt(running, is_failure=False, now=now)
+        self._budget.earn()
+        yield from self._finish(running)
+
+    def _take_failure(
+        self,
+        running: _Running,
+        outcome: wire.Outcome,
+        reason: str,
+        now: float,
+    ) -> Effects:
+        """Go on after an attempt that may have run in part."""
+        self._close_attempt(running, is_failure=True, now=now)
+        running.has_run = True
+        is_idempotent = running.call.kind is wire.Kind.IDEMPOTENT
+        if is_idempotent and not running.is_released:
+            if running.attempts < const.ATTEMPTS_LIMIT:
+                if now < running.end_by and self._budget.take(now):
+                    metrics.RETRIES.labels(reason=reason).inc()
+                    yield from self._try(running, now)
+                    return
+        yield from self._fail(running, 502, reason, outcome, now)
+
+    def _fail_not_run(
+        self,
+        running: _Running,
+        reason: str,
+        now: float,
+        retry_after_s: float,
+    ) -> Effects:
+        """Fail a call that never ran, or ran only where it may again."""
+        outcome = wire.Outcome.NOT_RUN
+        if running.has_run:
+            outcome = wire.Outcome.UNKNOWN
+        yield from self._release_claim(running)
+        yield from self._fail(
+            running, 503, reason, outcome, now, max(1.0, retry_after_s)
+        )
+
+    def _fail(
+        self,
+        running: _Running,
+        status: int,
+        reason: str,
+        outcome: wire.Outcome,
+        now: float,
+        retry_after_s: float = 0.0,
+    ) -> Effects:
+        self._close_attempt(running, is_failure=False, now=now)
+        del self._calls[running.call.id]
+        failure = messages.Failure(
+            status=status,
+            reason=reason,
+            outcome=outcome,
+            retry_after_s=retry_after_s,
+        )
+        yield from self._tell(running, failure)
+
+    def _finish(self, running: _Running) -> Effects:
+        del self._calls[running.call.id]
+        yield from self._tell(running, messages.Finished())
+
+    def _tell(self, running: _Running, event: messages.Event) -> Effects:
+        if running.has_caller:
+            yield messages.ToCaller(call=running.call.id, event=event)
+
+    def link_down(self, target: str, now: float) -> None:
+        """Take note that the link to a target's agent ended.
+
+        :param target: the target
+        :param now: the current time in seconds
+        """
+        for running in self._by_attempt.values():
+            attempt = running.attempt
+            if attempt is not None and attempt.target == target:
+                attempt.lost_at = now
+
+    def link_up(self, target: str, incarnation: int, now: float) -> Effects:
+        """Resume attempts on a new link to a target's agent.
+
+        :param target: the target
+        :param incarnation: the agent's
+        :param now: the current time in seconds
+        :returns: the effects
+        """
+        yield from self._cancel_orphans(target, incarnation)
+        for running in list(self._by_attempt.values()):
+            attempt = running.attempt
+            if attempt is None or attempt.target != target:
+                continue
+            if attempt.incarnation != incarnation:
+                yield from self._take_failure(
+                    running,
+                    wire.Outcome.UNKNOWN,
+                    const.REASON_AGENT_RESTARTED,
+                    now,
+                )
+            elif attempt.lost_at is not None:
+                attempt.lost_at = None
+                metrics.RESUMES.inc()
+                yield self._make_resume(attempt)
+
+    def _cancel_orphans(self, target: str, incarnation: int) -> Effects:
+        for attempt in list(self._orphans.values()):
+            if attempt.target != target:
+                continue
+            del self._orphans[attempt.id]
+            if attempt.incarnation == incarnation:
+                yield messages.ToTarget(
+                    target=target, message=wire.Cancel(attempt=attempt.id)
+                )
+
+    def cancel(self, call_id: int, now: float) -> Effects:
+        """End a call whose caller is gone; a booking goes on.
+
+        :param call_id: the call
+        :param now: the current time in seconds
+        :returns: the effects
+        """
+        running = self._calls.get(call_id)
+        if running is None:
+            return
+        running.has_caller = False
+        if running.call.kind is wire.Kind.BOOKING:
+            return
+        yield from self._abandon(running)
+        self._close_attempt(running, is_failure=False, now=now)
+        del self._calls[call_id]
+
+    def _abandon(self, running: _Running) -> Effects:
+        attempt = running.attempt
+        if attempt is None:
+            return
+        if attempt.lost_at is not None:
+            self._orphans[attempt.id] = attempt
+            return
+        yield messages.ToTarget(
+            target=attempt.target, message=wire.Cancel(attempt=attempt.id)
+        )
+
+    def tick(self, now: float) -> Effects:
+        """Do what is due by time alone.
+
+        :param now: the current time in seconds
+        :returns: the effects
+        """
+        for running in list(self._calls.values()):
+            if running.is_settling or running.attempt is None:
+                continue
+            if running.call.kind is wire.Kind.BOOKING:
+                yield from self._check_booking(running, now)
+            else:
+                yield from self._check_idempotent(running, now)
+
+    def _check_idempotent(self, running: _Running, now: float) -> Effects:
+        attempt = running.attempt
+        assert attempt is not None
+        if now >= running.end_by:
+            yield from self._abandon(running)
+            yield from self._fail(
+                running,
+                504,
+                const.REASON_DEADLINE,
+                wire.Outcome.UNKNOWN,
+                now,
+            )
+        elif _is_lost(attempt, now):
+            yield from self._abandon(running)
+            yield from self._take_failure(
+                running, wire.Outcome.UNKNOWN, const.REASON_LINK_LOST, now
+            )
+
+    def _check_booking(self, running: _Running, now: float) -> Effects:
+        """Let the caller go early; wait on for the booking's outcome."""
+        attempt = running.attempt
+        assert attempt is not None
+        if now >= running.end_by + const.BOOKING_GRACE_S:
+            yield from self._fail(
+                running,
+                504,
+                const.REASON_DEADLINE,
+                wire.Outcome.UNKNOWN,
+                now,
+            )
+        elif _is_lost(attempt, now) and running.has_caller:
+            failure = messages.Failure(
+                status=502,
+                reason=const.REASON_LINK_LOST,
+                outcome=wire.Outcome.UNKNOWN,
+            )
+            yield from self._tell(running, failure)
+            running.has_caller = False
+
+
+def _is_lost(attempt: Attempt, now: float) -> bool:
+    if attempt.lost_at is None:
+        return False
+    return now >= attempt.lost_at + const.RESUME_WAIT_S
--- /dev/null
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -0,0 +1,526 @@
+"""Put an entry instance's parts together; one thread owns the state."""
+
+import contextlib
+import pathlib
+import random
+import threading
+import time
+import typing
+
+import structlog
+
+from bambooring.admission import state as admission_state
+from bambooring.callers import const as callers_const
+from bambooring.callers import messages as callers
+from bambooring.callers import task as callers_task
+from bambooring.configuration import holder as holder_module
+from bambooring.configuration import messages as configuration
+from bambooring import const
+from bambooring.dispatch import messages as dispatch
+from bambooring.dispatch import state as dispatch_state
+from bambooring.membership import const as membership_const
+from bambooring.membership import messages as membership
+from bambooring.membership import state as membership_state
+from bambooring import metrics
+from bambooring.operators import messages as operators
+from bambooring.replication import messages as replication
+from bambooring.replication import proposer as proposer_module
+from bambooring.routing import state as routing_state
+from bambooring_core import codec
+from bambooring_core import const as core_const
+from bambooring_core.dispatch import messages as wire
+from bambooring_core import http
+from bambooring_core import identity as identity_module
+from bambooring_core import links
+from bambooring_core import operations
+from bambooring_core import reactor as reactor_module
+from bambooring_core import settings as settings_module
+
+LOG = structlog.get_logger(__name__)
+
+SWITCH_INTERVAL_S = 0.001
+QUIET_BEFORE_STOP_S = 0.3
+
+
+class Entry:
+    """Run one entry instance."""
+
+    def __init__(
+        self,
+        settings: dict[str, typing.Any],
+        reactor: reactor_module.Reactor,
+    ) -> None:
+        now = reactor.now()
+        self._settings = settings
+        self._reactor = reactor
+        self._identity = identity_module.Identity(
+            cluster=settings[const.CONF_CLUSTER],
+            instance=settings[const.CONF_INSTANCE],
+            role=core_const.ROLE_ENTRY,
+            failure_domain=settings[const.CONF_FAILURE_DOMAIN],
+            address=settings[const.CONF_LISTEN][const.CONF_PEERS],
+            incarnation=identity_module.draw_incarnation(),
+        )
+        rng = random.Random(self._identity.incarnation)
+        self._hub = links.LinkHub(
+            reactor=reactor,
+            identity=self._identity,
+            key=settings_module.read_key(
+                pathlib.Path(settings[const.CONF_KEY_FILE])
+            ),
+            handler=self,
+        )
+        self._directory = membership_state.Directory(
+            instance=self._identity.instance,
+            failure_domain=self._identity.failure_domain,
+        )
+        self._router = routing_state.Router(
+            failure_domain=self._identity.failure_domain, rng=rng
+        )
+        self._dispatcher = dispatch_state.Dispatcher(
+            router=self._router, rng=rng, now=now
+        )
+        self._admission = admission_state.Admission(
+            max_running=settings[const.CONF_MAX_RUNNING]
+        )
+        self._holder = holder_module.Holder()
+        self._proposer = proposer_module.Proposer(rng)
+        self._proposals: dict[int, int] = {}
+        self._events: dict[int, callers.Events] = {}
+        self._agents: dict[str, links.Link] = {}
+        self._subscribers: dict[links.Link, int] = {}
+        self._sequence = 0
+        self._counter = _Counter()
+        self._leaving_since: float | None = None
+
+    def run(self) -> None:
+        """Run until a leaving instance has finished its work."""
+        listen = self._settings[const.CONF_LISTEN]
+        max_body_bytes = self._settings[const.CONF_MAX_BODY_BYTES]
+        application = callers_task.Application(self, max_body_bytes)
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._hub)
+            stack.enter_context(
+                operations.make_server(
+                    listen[const.CONF_OPERATORS],
+                    const.OPERATOR_THREADS,
+                    self._is_ready,
+                )
+            )
+            stack.enter_context(
+                http.HttpServer(
+                    address=links.split_address(listen[const.CONF_CALLERS]),
+                    application=operations.wrap_probes(
+                        application, self._is_ready
+                    ),
+                    threads=self._settings[const.CONF_MAX_RUNNING]
+                    + const.REFUSAL_THREADS,
+                    max_body_bytes=max_body_bytes,
+                    make_error=application.make_unread_error,
+                )
+            )
+            self._set_up_links()
+            LOG.info('entry instance runs', address=self._identity.address)
+            self._reactor.run()
+        LOG.info('entry instance ends')
+
+    def _set_up_links(self) -> None:
+        for address in self._settings[const.CONF_CONTROL]:
+            self._hub.keep(address)
+        for address in self._settings[const.CONF_PEERS]:
+            self._hub.keep(address)
+        self._reactor.call_every(const.TICK_INTERVAL_S, self._tick)
+        self._reactor.call_every(const.REPORT_INTERVAL_S, self._report)
+        self._reactor.call_every(
+            membership_const.GOSSIP_INTERVAL_S, self._gossip
+        )
+
+    def leave(self) -> None:
+        """Begin to leave; callable from any thread."""
+        self._reactor.post(self._leave)
+
+    def _leave(self) -> None:
+        if self._leaving_since is not None:
+            return
+        LOG.info('entry instance leaves')
+        self._leaving_since = self._reactor.now()
+        self._report()
+
+    # What callers' threads use.
+
+    def get_view(self) -> holder_module.View:
+        """Return the configuration in force."""
+        return self._holder.view
+
+    def get_refusal(self) -> str | None:
+        """Return why no call is taken at all, or None."""
+        if self._is_past_grace():
+            return callers_const.REASON_LEAVING
+        if not self._holder.in_force:
+            return callers_const.REASON_NO_CONFIGURATION
+        return None
+
+    def is_leaving(self) -> bool:
+        """Tell whether the instance is leaving."""
+        return self._leaving_since is not None
+
+    def _is_past_grace(self) -> bool:
+        if self._leaving_since is None:
+            return False
+        grace_s = self._settings[const.CONF_LEAVE_GRACE_S]
+        return self._reactor.now() > self._leaving_since + grace_s
+
+    def _is_ready(self) -> bool:
+        return not self.is_leaving() and bool(self._holder.in_force)
+
+    def begin(self) -> None:
+        """Count a request that has arrived."""
+        self._counter.begin()
+
+    def end(self) -> None:
+        """Count a request that is done with."""
+        self._counter.end()
+
+    def submit(self, call: dispatch.Call, events: callers.Events) -> None:
+        """Admit and dispatch a call."""
+        self._reactor.post(lambda: self._submit(call, events))
+
+    def cancel(self, call_id: int) -> None:
+        """End a call whose caller is gone."""
+        self._reactor.post(lambda: self._cancel(call_id))
+
+    def release(self, call: dispatch.Call) -> None:
+        """Take note that a call's caller is done with."""
+        self._reactor.post(lambda: self._release(call))
+
+    # What the instance's own thread does.
+
+    def _submit(self, call: dispatch.Call, events: callers.Events) -> None:
+        now = self._reactor.now()
+        refusal = self._admission.admit(call.account, now)
+        if refusal is not None:
+            events.put(
+                dispatch.Failure(
+                    status=429,
+                    reason=refusal.reason,
+                    outcome=wire.Outcome.NOT_RUN,
+                    retry_after_s=refusal.retry_after_s,
+                )
+            )
+            return
+        self._events[call.id] = events
+        self._carry_out(self._dispatcher.submit(call, now))
+
+    def _cancel(self, call_id: int) -> None:
+        now = self._reactor.now()
+        self._carry_out(self._dispatcher.cancel(call_id, now))
+
+    def _release(self, call: dispatch.Call) -> None:
+        if self._events.pop(call.id, None) is not None:
+            self._admission.release(call.account.name)
+
+    def _carry_out(self, effects: dispatch_state.Effects) -> None:
+        for effect in effects:
+            match effect:
+                case dispatch.ToCaller():
+                    events = self._events.get(effect.call)
+                    if events is not None:
+                        events.put(effect.event)
+                case dispatch.ToTarget():
+                    link = self._agents.get(effect.target)
+                    if link is not None:
+                        link.send(effect.message)
+                case dispatch.Propose():
+                    self._propose(effect)
+
+    def _propose(self, effect: dispatch.Propose) -> None:
+        proposal, effects = self._proposer.submit(
+            codec.pack(effect.command),
+            self._reactor.now(),
+            effect.timeout_s,
+        )
+        if effect.call:
+            self._proposals[proposal] = effect.call
+        self._carry_out_proposals(effects)
+
+    def _carry_out_proposals(self, effects: proposer_module.Effects) -> None:
+        for effect in effects:
+            match effect:
+                case proposer_module.Ask():
+                    self._ask(effect)
+                case proposer_module.Answer():
+                    self._answer(effect)
+
+    def _ask(self, ask: proposer_module.Ask) -> None:
+        for link in self._hub.get_links(core_const.ROLE_CONTROL):
+            if link.name == ask.to:
+                link.send(ask.message)
+
+    def _answer(self, answer: proposer_module.Answer) -> None:
+        call = self._proposals.pop(answer.proposal, None)
+        if call is None:
+            return
+        reply = codec.unpack(answer.reply) if answer.reply else None
+        now = self._reactor.now()
+        self._carry_out(self._dispatcher.answer_proposal(call, reply, now))
+
+    def _tick(self) -> None:
+        now = self._reactor.now()
+        self._carry_out(self._dispatcher.tick(now))
+        self._carry_out_proposals(self._proposer.tick(now))
+        for announcement in self._directory.drop_expired(now):
+            self._drop_target(announcement)
+        self._admission.instances = self._directory.count_instances()
+        self._advance()
+        metrics.RUNNING.set(self._counter.running)
+        metrics.TARGETS.set(len(self._router.targets))
+        self._stop_when_idle(now)
+
+    def _stop_when_idle(self, now: float) -> None:
+        if not self._is_past_grace():
+            return
+        if len(self._dispatcher) or not self._counter.is_quiet():
+            return
+        self._reactor.stop()
+
+    def _drop_target(self, announcement: membership.Announcement) -> None:
+        if announcement.target not in self._agents:
+            self._router.remove(announcement.target)
+            self._hub.drop(announcement.address)
+
+    def _know_target(self, announcement: membership.Announcement) -> None:
+        """Take news of a target into the routing and link to it."""
+        known = self._router.targets.get(announcement.target)
+        if known is not None and known.address != announcement.address:
+            self._hub.drop(known.address)
+        target = self._router.put(
+            routing_state.Target(
+                name=announcement.target,
+                service=announcement.service,
+                failure_domain=announcement.failure_domain,
+                address=announcement.address,
+                incarnation=announcement.incarnation,
+                slots=max(1, announcement.slots),
+                is_leaving=announcement.is_leaving,
+                is_ready=announcement.is_ready,
+            )
+        )
+        link = self._agents.get(announcement.target)
+        if link is not None and link.peer is not None:
+            is_same = link.peer.incarnation == target.incarnation
+            target.is_linked = is_same
+        self._hub.keep(announcement.address)
+
+    def _gossip(self) -> None:
+        now = self._reactor.now()
+        self._sequence += 1
+        self._directory.note_presence(self._make_presence(), now)
+        for address in self._directory.choose_peers():
+            self._hub.keep(address)
+        self._send_gossip()
+
+    def _make_presence(self) -> membership.Presence:
+        return membership.Presence(
+            instance=self._identity.instance,
+            failure_domain=self._identity.failure_domain,
+            address=self._identity.address,
+            incarnation=self._identity.incarnation,
+            sequence=self._sequence,
+            held=self._holder.held,
+            in_force=self._holder.in_force,
+            is_leaving=self.is_leaving(),
+        )
+
+    def _send_gossip(self) -> None:
+        now = self._reactor.now()
+        for link in self._hub.get_links(core_const.ROLE_ENTRY):
+            if link.dialled is not None:
+                gossip = self._directory.make_gossip(link.name, now)
+                if gossip is not None:
+                    link.send(gossip)
+
+    def _advance(self) -> None:
+        """Put the held configuration in force once neighbours hold it."""
+        neighbours = self._directory.get_neighbours()
+        held = [presence.held for presence in neighbours]
+        if self._holder.advance(held, self._reactor.now()):
+            revision = self._holder.in_force
+            metrics.REVISION_IN_FORCE.set(revision)
+            LOG.info('configuration in force', revision=revision)
+            self._gossip()
+            self._report()
+
+    def _report(self) -> None:
+        report = configuration.Report(
+            instance=self._identity.instance,
+            failure_domain=self._identity.failure_domain,
+            incarnation=self._identity.incarnation,
+            held=self._holder.held,
+            in_force=self._holder.in_force,
+            running=self._counter.running,
+            is_leaving=self.is_leaving(),
+            unknown_schemas=self._holder.view.unknown_schemas,
+        )
+        for link in self._hub.get_links(core_const.ROLE_CONTROL):
+            link.send(report)
+
+    def link_up(self, link: links.Link) -> None:
+        """Begin to use a link."""
+        assert link.peer is not None
+        if link.dialled is None:
+            return
+        if link.peer.role == core_const.ROLE_AGENT:
+            self._link_agent(link)
+            return
+        if link.peer.role == core_const.ROLE_CONTROL:
+            self._proposer.reachable.add(link.name)
+        link.send(configuration.Subscribe(revision=self._holder.held))
+
+    def _link_agent(self, link: links.Link) -> None:
+        assert link.peer is not None
+        self._agents[link.name] = link
+        target = self._router.targets.get(link.name)
+        if target is not None:
+            is_same = target.incarnation == link.peer.incarnation
+            target.is_linked = is_same
+        self._carry_out(
+            self._dispatcher.link_up(
+                link.name, link.peer.incarnation, self._reactor.now()
+            )
+        )
+
+    def link_down(self, link: links.Link) -> None:
+        """Stop using a link."""
+        assert link.peer is not None
+        self._subscribers.pop(link, None)
+        if link.dialled is None:
+            return
+        match link.peer.role:
+            case core_const.ROLE_AGENT:
+                self._unlink_agent(link)
+            case core_const.ROLE_CONTROL:
+                self._proposer.forget(link.name)
+            case core_const.ROLE_ENTRY:
+                self._directory.forget_peer(link.name)
+
+    def _unlink_agent(self, link: links.Link) -> None:
+        if self._agents.get(link.name) is not link:
+            return
+        del self._agents[link.name]
+        target = self._router.targets.get(link.name)
+        if target is not None:
+            target.is_linked = False
+        self._dispatcher.link_down(link.name, self._reactor.now())
+
+    def receive(self, link: links.Link, message: typing.Any) -> None:
+        """Handle one message."""
+        now = self._reactor.now()
+        match message:
+            case wire.Output():
+                self._carry_out(
+                    self._dispatcher.receive(message, link.name, now)
+                )
+            case wire.Refused():
+                self._carry_out(
+                    self._dispatcher.refuse(message, link.name, now)
+                )
+            case wire.Ended():
+                output = wire.Output(ended=[message])
+                self._carry_out(
+                    self._dispatcher.receive(output, link.name, now)
+                )
+            case wire.Load():
+                self._router.report(link.name, message, now)
+            case membership.Announcement():
+                if self._directory.announce(message, now):
+                    self._know_target(message)
+            case membership.Gossip():
+                for announcement in self._directory.receive(message, now):
+                    self._know_target(announcement)
+                self._advance()
+            case replication.Proposed():
+                self._carry_out_proposals(
+                    self._proposer.handle(message, link.name, now)
+                )
+            case _:
+                self._receive_configuration(link, message, now)
+
+    def _receive_configuration(
+        self, link: links.Link, message: typing.Any, now: float
+    ) -> None:
+        match message:
+            case configuration.Records():
+                self._hold(link, message, now)
+            case configuration.Subscribe():
+                self._subscribers[link] = message.revision
+                link.send(self._holder.get_since(message.revision))
+            case operators.StatusQuery():
+                link.send(self._describe_targets(message.query))
+            case wire.Leave():
+                agent = self._agents.get(message.target)
+                if agent is not None:
+                    agent.send(message)
+            case _:
+                LOG.warning('message ignored', kind=type(message).__name__)
+
+    def _hold(
+        self, link: links.Link, message: configuration.Records, now: float
+    ) -> None:
+        before = self._holder.held
+        if not self._holder.receive(message, now):
+            link.send(configuration.Subscribe(revision=before))
+            return
+        if self._holder.held == before:
+            return
+        metrics.REVISION_HELD.set(self._holder.held)
+        for subscriber, known in list(self._subscribers.items()):
+            if known < self._holder.held:
+                self._subscribers[subscriber] = self._holder.held
+                subscriber.send(self._holder.get_since(known))
+        self._gossip()
+        self._advance()
+
+    def _describe_targets(self, query: int) -> operators.StatusReply:
+        targets = [
+            operators.TargetStatus(
+                target=target.name,
+                service=target.service,
+                failure_domain=target.failure_domain,
+                address=target.address,
+                is_linked=target.is_linked,
+                is_ready=target.is_ready,
+                is_leaving=target.is_leaving,
+                running=target.running,
+                queued=target.queued,
+                slots=target.slots,
+            )
+            for target in self._router.targets.values()
+        ]
+        return operators.StatusReply(query=query, targets=targets)
+
+
+class _Counter:
+    """Count requests across the callers' threads."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self.running = 0
+        self._last = 0.0
+
+    def begin(self) -> None:
+        """Count one more."""
+        with self._lock:
+            self.running += 1
+            self._last = time.monotonic()
+
+    def end(self) -> None:
+        """Count one less."""
+        with self._lock:
+            self.running -= 1
+            self._last = time.monotonic()
+
+    def is_quiet(self) -> bool:
+        """Tell whether none runs and none came for a while."""
+        if self.running:
+            return False
+        return time.monotonic() > self._last + QUIET_BEFORE_STOP_S
--- /dev/null
+++ b/packages/bambooring/src/bambooring/machine.py
@@ -0,0 +1,98 @@
+"""Apply the control replicas' log: configuration and claims."""
+
+import functools
+import struct
+import typing
+
+from bambooring.bookings import messages as bookings
+from bambooring.bookings import state as bookings_state
+from bambooring.configuration import messages as configuration
+from bambooring.configuration import state as configuration_state
+from bambooring_core import codec
+
+_SIZE = struct.Struct('<I')
+
+
+class ControlMachine:
+    """Hold the state that every control replica has."""
+
+    def __init__(self) -> None:
+        self.store = configuration_state.Store()
+        self.claims = bookings_state.Claims()
+        self._time = 0.0
+
+    def apply(self, command: bytes) -> bytes:
+        """Apply a stamped command.
+
+        :param command: the packed command with the leader's time
+        :returns: the packed reply
+        """
+        stamped = codec.unpack(command)
+        self._time = max(self._time, stamped.at_s)
+        reply = _apply(codec.unpack(stamped.command), self, self._time)
+        return codec.pack(reply)
+
+    def save(self) -> bytes:
+        """Return the whole state as sized packed messages."""
+        stamp = codec.pack(bookings.Clock(now=self._time))
+        parts = [_SIZE.pack(len(stamp)), stamp]
+        for part in (self.store, self.claims):
+            for message in part.save():
+                data = codec.pack(message)
+                parts += (_SIZE.pack(len(data)), data)
+        return b''.join(parts)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a saved one.
+
+        :param data: what :meth:`save` returned
+        """
+        self.store = configuration_state.Store()
+        self.claims = bookings_state.Claims()
+        offset = 0
+        while offset < len(data):
+            (size,) = _SIZE.unpack_from(data, offset)
+            start = offset + _SIZE.size
+            offset = start + size
+            self._restore_one(codec.unpack(data[start:offset]))
+
+    def _restore_one(self, message: typing.Any) -> None:
+        if isinstance(message, bookings.Clock):
+            self._time = message.now
+        elif not self.store.restore(message):
+            self.claims.restore(message)
+
+
+@functools.singledispatch
+def _apply(
+    command: typing.Any, machine: ControlMachine, now: float
+) -> typing.Any:
+    raise TypeError(f'no command: {type(command).__name__}')
+
+
+@_apply.register
+def _apply_change(
+    command: configuration.Change, machine: ControlMachine, now: float
+) -> configuration.ChangeAnswer:
+    return machine.store.apply(command)
+
+
+@_apply.register
+def _apply_claim(
+    command: bookings.Claim, machine: ControlMachine, now: float
+) -> bookings.ClaimAnswer:
+    return machine.claims.claim(command, now)
+
+
+@_apply.register
+def _apply_settle(
+    command: bookings.Settle, machine: ControlMachine, now: float
+) -> bookings.Done:
+    return machine.claims.settle(command, now)
+
+
+@_apply.register
+def _apply_release(
+    command: bookings.Release, machine: ControlMachine, now: float
+) -> bookings.Done:
+    return machine.claims.release(command, now)
--- /dev/null
+++ b/packages/bambooring/src/bambooring/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know the targets and the entry instances by their announcements."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -0,0 +1,62 @@
+"""Count what entry instances and control replicas do."""
+
+import prometheus_client
+
+REFUSALS = prometheus_client.Counter(
+    'bambooring_refusals_total',
+    'Requests answered with an error, by reason and outcome.',
+    ['reason', 'outcome'],
+)
+RETRIES = prometheus_client.Counter(
+    'bambooring_retries_total',
+    'Attempts made after an earlier one, by the reason for it.',
+    ['reason'],
+)
+REQUESTS = prometheus_client.Counter(
+    'bambooring_requests_total',
+    'Requests answered whole, by service.',
+    ['service'],
+)
+RETRIES_DENIED = prometheus_client.Counter(
+    'bambooring_retries_denied_total',
+    'Attempts not made because the retry budget was spent.',
+)
+RESUMES = prometheus_client.Counter(
+    'bambooring_resumes_total', 'Attempts resumed on a new link.'
+)
+RUNNING = prometheus_client.Gauge(
+    'bambooring_running', 'Requests in progress.'
+)
+FIRST_BYTE_S = prometheus_client.Histogram(
+    'bambooring_first_byte_seconds',
+    'Time from a request to the first byte of its answer.',
+    ['service'],
+    buckets=(0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 0.8, 1.1, 2, 5, 10, 30),
+)
+WHOLE_S = prometheus_client.Histogram(
+    'bambooring_whole_seconds',
+    'Time from a request to the end of its answer.',
+    ['service'],
+    buckets=(0.02, 0.1, 0.5, 1, 2, 5, 10, 30, 60, 120, 300),
+)
+TARGETS = prometheus_client.Gauge(
+    'bambooring_targets', 'Targets with a lease that holds.'
+)
+REVISION_HELD = prometheus_client.Gauge(
+    'bambooring_configuration_held', 'Revision held.'
+)
+REVISION_IN_FORCE = prometheus_client.Gauge(
+    'bambooring_configuration_in_force', 'Revision in force.'
+)
+PROPOSALS = prometheus_client.Counter(
+    'bambooring_proposals_total',
+    'Commands that reached this replica, by result.',
+    ['result'],
+)
+STORAGE_FAILURES = prometheus_client.Counter(
+    'bambooring_storage_failures_total', 'Writes that the disk refused.'
+)
+TERM = prometheus_client.Gauge('bambooring_term', 'Current term.')
+IS_LEADER = prometheus_client.Gauge(
+    'bambooring_is_leader', '1 while this replica leads.'
+)
--- /dev/null
+++ b/packages/bambooring/src/bambooring/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Serve operators: the control replicas' API and the command line."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/replication/const.py
@@ -0,0 +1,20 @@
+"""Define the timing and the limits of replication."""
+
+import typing
+
+TICK_INTERVAL_S: typing.Final = 0.05
+HEARTBEAT_INTERVAL_S: typing.Final = 0.15
+ELECTION_TIMEOUT_S: typing.Final = 0.8
+GREETING_INTERVAL_S: typing.Final = 0.5
+RELOAD_INTERVAL_S: typing.Final = 2.0
+
+APPEND_LIMIT_BYTES: typing.Final = 1024 * 1024
+SNAPSHOT_CHUNK_BYTES: typing.Final = 256 * 1024
+SNAPSHOT_AFTER_ENTRIES: typing.Final = 2000
+KEPT_ENTRIES: typing.Final = 200
+CATCH_UP_ENTRIES: typing.Final = 16
+
+FILE_IDENTITY: typing.Final = 'identity'
+FILE_LOG: typing.Final = 'log'
+FILE_SNAPSHOT: typing.Final = 'snapshot'
+FILE_STATE: typing.Final = 'state'
--- /dev/null
+++ b/packages/bambooring/src/bambooring/replication/formation.py
@@ -0,0 +1,54 @@
+"""Form the first group of voters, once, from replicas with empty disks."""
+
+from bambooring.replication import messages
+
+
+class Formation:
+    """Collect greetings until every replica is known to be fresh.
+
+    Only the replica with the least name forms the group, and only while all
+    others have told it, knowing its present id, that they are fresh. A
+    replica that lost its disk later finds the others not fresh and waits
+    to be taken in.
+    """
+
+    __slots__ = ('_fresh', '_id', '_name', '_names', 'known')
+
+    def __init__(self, *, id: int, name: str, names: list[str]) -> None:
+        self._id = id
+        self._name = name
+        self._names = names
+        self._fresh: dict[str, int] = {}
+        self.known: dict[str, int] = {}
+
+    def greet(self, greeting: messages.Greeting) -> None:
+        """Take in a greeting.
+
+        :param greeting: what another replica says of itself
+        """
+        self.known[greeting.name] = greeting.id
+        if greeting.is_fresh and greeting.your_id == self._id:
+            self._fresh[greeting.name] = greeting.id
+        else:
+            self._fresh.pop(greeting.name, None)
+
+    def forget(self, name: str) -> None:
+        """Take note that the link to a replica ended."""
+        self._fresh.pop(name, None)
+
+    def is_superseded(self, name: str, id: int) -> bool:
+        """Tell whether a replica of this name has come with another id."""
+        return self.known.get(name, id) != id
+
+    def decide(self) -> list[messages.Member] | None:
+        """Return the voters to form with, or None to wait."""
+        others = [name for name in self._names if name != self._name]
+        if self._name != min(self._names):
+            return None
+        if any(name not in self._fresh for name in others):
+            return None
+        ids = self._fresh | {self._name: self._id}
+        return [
+            messages.Member(id=ids[name], name=name)
+            for name in sorted(self._names)
+        ]
--- /dev/null
+++ b/packages/bambooring/src/bambooring/replication/log.py
@@ -0,0 +1,107 @@
+"""Hold the part of the replicated log that follows the snapshot."""
+
+import collections.abc
+
+from bambooring.replication import messages
+from bambooring_core import codec
+
+
+class Log:
+    """Hold entries in memory; indices start at 1."""
+
+    __slots__ = ('_entries', 'head')
+
+    def __init__(
+        self,
+        head: messages.SnapshotHead | None = None,
+        entries: collections.abc.Iterable[messages.Entry] = (),
+    ) -> None:
+        self.head = head or messages.SnapshotHead(index=0, term=0, members=[])
+        self._entries = list(entries)
+
+    @property
+    def first_index(self) -> int:
+        """Return the index of the first entry that is held."""
+        return self.head.index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.head.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        if self._entries:
+            return self._entries[-1].term
+        return self.head.term
+
+    def get_term(self, index: int) -> int | None:
+        """Return an entry's term, or None if it is not held."""
+        if index == self.head.index:
+            return self.head.term
+        if self.first_index <= index <= self.last_index:
+            return self._entries[index - self.first_index].term
+        return None
+
+    def get_entry(self, index: int) -> messages.Entry:
+        """Return the entry at an index."""
+        return self._entries[index - self.first_index]
+
+    def get_from(
+        self, index: int, limit_bytes: int | None = None
+    ) -> list[messages.Entry]:
+        """Return entries from an index on.
+
+        :param index: the first index
+        :param limit_bytes: stop after about so many bytes of data
+        :returns: the entries, one at least if there is one
+        """
+        rest = self._entries[index - self.first_index :]
+        if limit_bytes is None:
+            return rest
+        size = 0
+        for count, entry in enumerate(rest):
+            size += len(entry.data)
+            if size > limit_bytes and count:
+                return rest[:count]
+        return rest
+
+    def append(self, entries: list[messages.Entry]) -> None:
+        """Add entries at the end."""
+        self._entries += entries
+
+    def truncate(self, index: int) -> None:
+        """Drop the entries from an index on."""
+        del self._entries[max(0, index - self.first_index) :]
+
+    def compact(self, head: messages.SnapshotHead) -> None:
+        """Drop the entries that a snapshot covers.
+
+        :param head: the snapshot's head
+        """
+        if self.get_term(head.index) == head.term:
+            self._entries = self.get_from(head.index + 1)
+        else:
+            self._entries = []
+        self.head = head
+
+    def find_members(self) -> tuple[int, list[messages.Member]]:
+        """Return the newest list of voters and its index.
+
+        :returns: the index and the voters, from the log or the snapshot
+        """
+        for entry in reversed(self._entries):
+            if entry.kind is messages.EntryKind.MEMBERS:
+                return entry.index, decode_members(entry.data)
+        return self.head.index, self.head.members
+
+
+def encode_members(members: list[messages.Member]) -> bytes:
+    """Encode a list of voters as an entry's data."""
+    return codec.pack(messages.Members(members=members))
+
+
+def decode_members(data: bytes) -> list[messages.Member]:
+    """Decode an entry's list of voters."""
+    return codec.unpack(data).members
--- /dev/null
+++ b/packages/bambooring/src/bambooring/replication/state.py
@@ -0,0 +1,752 @@
+"""Decide as one Raft replica, without input or output of its own.
+
+Raft after Ongaro and Ousterhout (2014) with pre-vote and check-quorum
+(Ongaro's thesis, 2014, sections 9.6 and 6.2), single-member changes
+(section 4) and leadership transfer (section 3.10).
+
+The caller steps messages and time in, then takes a :class:`Ready`: it
+saves what is to be saved, reports that by :meth:`Replica.saved`, sends the
+messages and applies the committed entries, in this order.
+"""
+
+import dataclasses
+import enum
+import random
+import typing
+
+from bambooring.replication import const
+from bambooring.replication import log as log_module
+from bambooring.replication import messages
+
+
+class Role(enum.Enum):
+    """Say what part a replica plays."""
+
+    FOLLOWER = 'follower'
+    PRE_CANDIDATE = 'pre_candidate'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Envelope:
+    """Hold a message and the replica it is for."""
+
+    to: int
+    message: typing.Any
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Ready:
+    """Hold what a replica wants done.
+
+    ``hard_state``, ``batch`` and ``snapshot`` are saved first, then the
+    messages are sent, then the committed entries applied.
+    """
+
+    hard_state: messages.HardState | None
+    batch: messages.Batch | None
+    snapshot: messages.SnapshotFile | None
+    envelopes: list[Envelope]
+    committed: list[messages.Entry]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Progress:
+    """Hold what a leader knows of one follower."""
+
+    name: str
+    next_index: int
+    last_ack: float
+    match: int = 0
+    snapshot_offset: int | None = None
+    snapshot_index: int = 0
+    snapshot_sent: float = 0.0
+
+
+class Replica:
+    """Hold one replica's state."""
+
+    def __init__(
+        self,
+        *,
+        id: int,
+        name: str,
+        names: list[str],
+        hard_state: messages.HardState,
+        snapshot: messages.SnapshotFile | None,
+        entries: list[messages.Entry],
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.id = id
+        self.name = name
+        self.names = names
+        self.role = Role.FOLLOWER
+        self.term = hard_state.term
+        self.voted_for = hard_state.voted_for
+        self.leader = 0
+        self.snapshot = snapshot
+        self.log = log_module.Log(snapshot.head if snapshot else None, entries)
+        self.commit = self.log.head.index
+        self.applied = self.log.head.index
+        self._saved = self.log.last_index
+        self._rng = rng
+        self._now = now
+        self._heard = float('-inf')
+        self._deadline = 0.0
+        self._next_heartbeat = 0.0
+        self._votes: set[int] = set()
+        self._progress: dict[int, Progress] = {}
+        self._learners: dict[int, str] = {}
+        self._envelopes: list[Envelope] = []
+        self._truncate_from = 0
+        self._new_from = self.log.last_index + 1
+        self._state_changed = False
+        self._incoming = bytearray()
+        self._installed: messages.SnapshotFile | None = None
+        self._term_start = 0
+        self.members: dict[int, str] = {}
+        self._members_index = 0
+        self._load_members()
+        self._reset_deadline()
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads."""
+        return self.role is Role.LEADER
+
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether this replica has never held an entry."""
+        return self.log.last_index == 0
+
+    @property
+    def saved_index(self) -> int:
+        """Return the index up to which entries were taken to be saved."""
+        return self._new_from - 1
+
+    @property
+    def leader_name(self) -> str:
+        """Return the leader's name, or an empty text."""
+        return self.members.get(self.leader, '')
+
+    def form(self, members: list[messages.Member]) -> None:
+        """Begin a new log whose first entry lists the voters.
+
+        :param members: the voters
+        """
+        assert self.is_fresh
+        entry = messages.Entry(
+            index=1,
+            term=1,
+            kind=messages.EntryKind.MEMBERS,
+            data=log_module.encode_members(members),
+        )
+        self._set_term(max(self.term, 1), self.voted_for)
+        self.log.append([entry])
+        self._load_members()
+
+    def learn(self, id: int, name: str) -> None:
+        """Take note of a connected replica that may become a voter.
+
+        :param id: its identity
+        :param name: its name in the settings
+        """
+        for other, other_name in list(self._learners.items()):
+            if other_name == name and other != id:
+                del self._learners[other]
+                if other not in self.members:
+                    self._progress.pop(other, None)
+        if name in self.names:
+            self._learners[id] = name
+            if self.is_leader:
+                self._add_progress(id, name)
+
+    def propose(self, data: bytes) -> tuple[int, int] | None:
+        """Put a command into the log.
+
+        :param data: the command
+        :returns: its index and term, or None if another replica leads
+        """
+        if not self.is_leader:
+            return None
+        return self._append(messages.EntryKind.COMMAND, data)
+
+    def _append(
+        self, kind: messages.EntryKind, data: bytes
+    ) -> tuple[int, int]:
+        entry = messages.Entry(
+            index=self.log.last_index + 1,
+            term=self.term,
+            kind=kind,
+            data=data,
+        )
+        self.log.append([entry])
+        if kind is messages.EntryKind.MEMBERS:
+            self._load_members()
+        return entry.index, entry.term
+
+    def _load_members(self) -> None:
+        self._members_index, members = self.log.find_members()
+        self.members = {member.id: member.name for member in members}
+        if self.is_leader:
+            for id, name in self.members.items():
+                self._add_progress(id, name)
+
+    def _add_progress(self, id: int, name: str) -> None:
+        if id == self.id or id in self._progress:
+            return
+        self._progress[id] = Progress(
+            name=name,
+            next_index=self.log.last_index + 1,
+            last_ack=self._now,
+        )
+
+    def _is_majority(self, ids: set[int]) -> bool:
+        return len(ids & set(self.members)) * 2 > len(self.members)
+
+    def _reset_deadline(self) -> None:
+        base = const.ELECTION_TIMEOUT_S
+        self._deadline = self._now + self._rng.uniform(base, 2 * base)
+
+    def _set_term(self, term: int, voted_for: int) -> None:
+        self.term = term
+        self.voted_for = voted_for
+        self._state_changed = True
+
+    def _send(self, to: int, message: typing.Any) -> None:
+        self._envelopes.append(Envelope(to=to, message=message))
+
+    def tick(self, now: float) -> None:
+        """Do what is due by time alone.
+
+        :param now: the current time in seconds
+        """
+        self._now = now
+        if self.is_leader:
+            self._tick_leader()
+        elif now >= self._deadline:
+            self._reset_deadline()
+            if self.id in self.members:
+                self._campaign(is_pre=True, is_forced=False)
+
+    def _tick_leader(self) -> None:
+        recent = self._now - const.ELECTION_TIMEOUT_S
+        reached = {
+            id
+            for id, progress in self._progress.items()
+            if progress.last_ack >= recent
+        }
+        if not self._is_majority(reached | {self.id}):
+            self._follow(self.term, 0)
+            return
+        if self._now >= self._next_heartbeat:
+            self._next_heartbeat = self._now + const.HEARTBEAT_INTERVAL_S
+            for id in self._progress:
+                self._replicate(id, is_heartbeat=True)
+        self._change_members()
+
+    def _campaign(self, *, is_pre: bool, is_forced: bool) -> None:
+        self.leader = 0
+        term = self.term + 1
+        self.role = Role.PRE_CANDIDATE
+        if not is_pre:
+            self.role = Role.CANDIDATE
+            self._set_term(term, self.id)
+        self._votes = {self.id}
+        if self._is_majority(self._votes):
+            self._win(is_pre, is_forced)
+            return
+        request = messages.VoteRequest(
+            term=term,
+            candidate=self.id,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+            is_pre=is_pre,
+            is_forced=is_forced,
+        )
+        for id in self.members:
+            if id != self.id:
+                self._send(id, request)
+
+    def _win(self, is_pre: bool, is_forced: bool) -> None:
+        if is_pre:
+            self._campaign(is_pre=False, is_forced=is_forced)
+            return
+        self.role = Role.LEADER
+        self.leader = self.id
+        self._progress = {}
+        for id, name in (self._learners | self.members).items():
+            self._add_progress(id, name)
+        self._term_start, _ = self._append(messages.EntryKind.NOOP, b'')
+        self._next_heartbeat = 0.0
+
+    def _follow(self, term: int, leader: int) -> None:
+        if term > self.term:
+            self._set_term(term, 0)
+        if self.role is not Role.FOLLOWER:
+            self._reset_deadline()
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._progress = {}
+
+    def step(self, message: typing.Any, now: float) -> None:
+        """Handle one message of another replica.
+
+        :param message: the message
+        :param now: the current time in seconds
+        """
+        self._now = now
+        match message:
+            case messages.VoteRequest():
+                self._handle_vote_request(message)
+            case messages.VoteReply():
+                self._handle_vote_reply(message)
+            case messages.AppendRequest():
+                if self._accept_leader(message.term, message.leader):
+                    self._handle_append(message)
+                else:
+                    self._refuse_append(message.leader, 0)
+            case messages.AppendReply():
+                self._handle_append_reply(message)
+            case messages.SnapshotChunk():
+                if self._accept_leader(message.term, message.leader):
+                    self._handle_snapshot(message)
+                else:
+                    self._refuse_append(message.leader, 0)
+            case messages.SnapshotReply():
+                self._handle_snapshot_reply(message)
+            case messages.TimeoutNow():
+                if message.term == self.term and not self.is_leader:
+                    self._campaign(is_pre=False, is_forced=True)
+
+    def _handle_vote_request(self, request: messages.VoteRequest) -> None:
+        has_leader = (
+            self.is_leader
+            or self._now < self._heard + const.ELECTION_TIMEOUT_S
+        )
+        if has_leader and not request.is_forced:
+            self._reply_vote(request, self.term, is_granted=False)
+            return
+        if not request.is_pre and request.term > self.term:
+            self._follow(request.term, 0)
+        is_current = (request.last_term, request.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        if request.is_pre:
+            is_granted = is_current and request.term > self.term
+            term = request.term if is_granted else self.term
+            self._reply_vote(request, term, is_granted=is_granted)
+            return
+        is_granted = (
+            is_current
+            and request.term == self.term
+            and self.voted_for in (0, request.candidate)
+        )
+        if is_granted:
+            self._set_term(self.term, request.candidate)
+            self._reset_deadline()
+        self._reply_vote(request, self.term, is_granted=is_granted)
+
+    def _reply_vote(
+        self, request: messages.VoteRequest, term: int, *, is_granted: bool
+    ) -> None:
+        reply = messages.VoteReply(
+            term=term,
+            voter=self.id,
+            is_granted=is_granted,
+            is_pre=request.is_pre,
+        )
+        self._send(request.candidate, reply)
+
+    def _handle_vote_reply(self, reply: messages.VoteReply) -> None:
+        if not reply.is_granted:
+            if reply.term > self.term:
+                self._follow(reply.term, 0)
+            return
+        if reply.is_pre:
+            wanted = (Role.PRE_CANDIDATE, self.term + 1)
+        else:
+            wanted = (Role.CANDIDATE, self.term)
+        if (self.role, reply.term) != wanted:
+            return
+        self._votes.add(reply.voter)
+        if self._is_majority(self._votes):
+            self._win(reply.is_pre, False)
+
+    def _accept_leader(self, term: int, leader: int) -> bool:
+        if term < self.term:
+            return False
+        if term > self.term or self.role is not Role.FOLLOWER:
+            self._follow(term, leader)
+        self.leader = leader
+        self._heard = self._now
+        self._reset_deadline()
+        return True
+
+    def _refuse_append(self, to: int, index: int) -> None:
+        reply = messages.AppendReply(
+            term=self.term, follower=self.id, is_success=False, index=index
+        )
+        self._send(to, reply)
+
+    def _handle_append(self, request: messages.AppendRequest) -> None:
+        entries = request.entries
+        previous = request.previous_index
+        if previous < self.log.head.index:
+            skip = self.log.head.index - previous
+            entries = entries[skip:]
+            previous += skip
+            if len(request.entries) < skip:
+                self._accept_append(request, self.log.head.index)
+                return
+        elif self.log.get_term(previous) != request.previous_term:
+            hint = min(previous - 1, self.log.last_index)
+            if previous <= self.log.last_index:
+                hint = self.commit
+            self._refuse_append(request.leader, hint)
+            return
+        self._take_entries(entries)
+        self._accept_append(request, previous + len(entries))
+
+    def _take_entries(self, entries: list[messages.Entry]) -> None:
+        for count, entry in enumerate(entries):
+            term = self.log.get_term(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                assert entry.index > self.commit, 'committed entry differs'
+                self._truncate(entry.index)
+            self.log.append(entries[count:])
+            self._load_members()
+            return
+
+    def _truncate(self, index: int) -> None:
+        self.log.truncate(index)
+        if index < self._new_from:
+            self._truncate_from = index
+            self._new_from = index
+        self._saved = min(self._saved, index - 1)
+        self._load_members()
+
+    def _accept_append(
+        self, request: messages.AppendRequest, match: int
+    ) -> None:
+        self.commit = max(self.commit, min(request.commit, match))
+        reply = messages.AppendReply(
+            term=self.term, follower=self.id, is_success=True, index=match
+        )
+        self._send(request.leader, reply)
+
+    def _handle_append_reply(self, reply: messages.AppendReply) -> None:
+        progress = self._find_progress(reply.term, reply.follower)
+        if progress is None:
+            return
+        if not reply.is_success:
+            progress.next_index = min(
+                progress.next_index, max(progress.match, reply.index) + 1
+            )
+            self._replicate(reply.follower)
+            return
+        if reply.index > progress.match:
+            progress.match = reply.index
+            self._advance_commit()
+        progress.next_index = max(progress.next_index, reply.index + 1)
+        if progress.next_index <= self.log.last_index:
+            self._replicate(reply.follower)
+
+    def _find_progress(self, term: int, follower: int) -> Progress | None:
+        if term > self.term:
+            self._follow(term, 0)
+            return None
+        if not self.is_leader or term < self.term:
+            return None
+        progress = self._progress.get(follower)
+        if progress is not None:
+            progress.last_ack = self._now
+        return progress
+
+    def _replicate(self, id: int, is_heartbeat: bool = False) -> None:
+        progress = self._progress[id]
+        previous = progress.next_index - 1
+        term = self.log.get_term(previous)
+        if term is None:
+            self._send_snapshot(id, progress, is_heartbeat)
+            return
+        entries = self.log.get_from(
+            progress.next_index, const.APPEND_LIMIT_BYTES
+        )
+        if not entries and not is_heartbeat:
+            return
+        progress.next_index += len(entries)
+        request = messages.AppendRequest(
+            term=self.term,
+            leader=self.id,
+            previous_index=previous,
+            previous_term=term,
+            entries=entries,
+            commit=self.commit,
+        )
+        self._send(id, request)
+
+    def _send_snapshot(
+        self, id: int, progress: Progress, is_heartbeat: bool
+    ) -> None:
+        snapshot = self.snapshot
+        assert snapshot is not None
+        is_new = progress.snapshot_index != snapshot.head.index
+        if is_new or progress.snapshot_offset is None:
+            progress.snapshot_index = snapshot.head.index
+            progress.snapshot_offset = 0
+        elif is_heartbeat:
+            waited = self._now - progress.snapshot_sent
+            if waited < const.ELECTION_TIMEOUT_S:
+                self._send_empty(id)
+                return
+        self._send_chunk(id, progress, snapshot)
+
+    def _send_empty(self, id: int) -> None:
+        """Send a heartbeat to a follower that is taking a snapshot."""
+        request = messages.AppendRequest(
+            term=self.term,
+            leader=self.id,
+            previous_index=0,
+            previous_term=0,
+            entries=[],
+            commit=0,
+        )
+        self._send(id, request)
+
+    def _send_chunk(
+        self, id: int, progress: Progress, snapshot: messages.SnapshotFile
+    ) -> None:
+        offset = progress.snapshot_offset or 0
+        end = offset + const.SNAPSHOT_CHUNK_BYTES
+        progress.snapshot_sent = self._now
+        chunk = messages.SnapshotChunk(
+            term=self.term,
+            leader=self.id,
+            head=snapshot.head,
+            offset=offset,
+            data=snapshot.data[offset:end],
+            is_last=end >= len(snapshot.data),
+        )
+        self._send(id, chunk)
+
+    def _handle_snapshot(self, chunk: messages.SnapshotChunk) -> None:
+        head = chunk.head
+        if head.index <= self.commit:
+            self._reply_snapshot(chunk, offset=0, is_done=True)
+            return
+        if chunk.offset == 0:
+            self._incoming = bytearray()
+        if chunk.offset != len(self._incoming):
+            self._reply_snapshot(
+                chunk, offset=len(self._incoming), is_done=False
+            )
+            return
+        self._incoming += chunk.data
+        if chunk.is_last:
+            self._install(head)
+        self._reply_snapshot(
+            chunk, offset=len(self._incoming), is_done=chunk.is_last
+        )
+
+    def _install(self, head: messages.SnapshotHead) -> None:
+        snapshot = messages.SnapshotFile(head=head, data=bytes(self._incoming))
+        self.snapshot = snapshot
+        self._installed = snapshot
+        self.log.compact(head)
+        self.commit = head.index
+        self.applied = head.index
+        self._saved = self.log.last_index
+        self._new_from = self.log.last_index + 1
+        self._truncate_from = 0
+        self._load_members()
+
+    def _reply_snapshot(
+        self, chunk: messages.SnapshotChunk, *, offset: int, is_done: bool
+    ) -> None:
+        reply = messages.SnapshotReply(
+            term=self.term,
+            follower=self.id,
+            index=chunk.head.index,
+            offset=offset,
+            is_done=is_done,
+        )
+        self._send(chunk.leader, reply)
+
+    def _handle_snapshot_reply(self, reply: messages.SnapshotReply) -> None:
+        progress = self._find_progress(reply.term, reply.follower)
+        if progress is None or reply.index != progress.snapshot_index:
+            return
+        if reply.is_done:
+            progress.snapshot_offset = None
+            progress.match = max(progress.match, reply.index)
+            progress.next_index = max(progress.next_index, reply.index + 1)
+            self._advance_commit()
+        else:
+            progress.snapshot_offset = reply.offset
+        self._replicate(reply.follower)
+
+    def _advance_commit(self) -> None:
+        """Commit what a majority holds, if it is of this term."""
+        matches = sorted(
+            self._saved if id == self.id else self._get_match(id)
+            for id in self.members
+        )
+        if not matches:
+            return
+        index = matches[(len(matches) - 1) // 2]
+        if index <= self.commit or self.log.get_term(index) != self.term:
+            return
+        self.commit = index
+        for id in self._progress:
+            self._replicate(id, is_heartbeat=True)
+
+    def _get_match(self, id: int) -> int:
+        progress = self._progress.get(id)
+        return progress.match if progress else 0
+
+    def _change_members(self) -> None:
+        """Put a caught-up replica in the place of one that is lost."""
+        if self.commit < max(self._term_start, self._members_index):
+            return
+        for id, name in self._learners.items():
+            if id in self.members or not self._is_caught_up(id):
+                continue
+            lost = [
+                old for old, member in self.members.items() if member == name
+            ]
+            if not lost:
+                self._propose_members(self.members | {id: name})
+                return
+            if self._is_lost(lost[0]):
+                rest = dict(self.members)
+                del rest[lost[0]]
+                self._propose_members(rest)
+                return
+
+    def _is_caught_up(self, id: int) -> bool:
+        progress = self._progress.get(id)
+        if progress is None or not progress.match:
+            return False
+        if progress.last_ack < self._now - const.ELECTION_TIMEOUT_S:
+            return False
+        return progress.match + const.CATCH_UP_ENTRIES >= self.commit
+
+    def _is_lost(self, id: int) -> bool:
+        progress = self._progress.get(id)
+        if id == self.id or progress is None:
+            return False
+        return progress.last_ack < self._now - 2 * const.ELECTION_TIMEOUT_S
+
+    def _propose_members(self, members: dict[int, str]) -> None:
+        listed = [
+            messages.Member(id=id, name=name)
+            for id, name in sorted(members.items())
+        ]
+        data = log_module.encode_members(listed)
+        self._append(messages.EntryKind.MEMBERS, data)
+
+    def transfer(self) -> bool:
+        """Hand leadership to the follower that is furthest on.
+
+        :returns: True if there was one to ask
+        """
+        candidates = [
+            (progress.match, id)
+            for id, progress in self._progress.items()
+            if id in self.members
+            and progress.last_ack > self._now - const.ELECTION_TIMEOUT_S
+        ]
+        if not self.is_leader or not candidates:
+            return False
+        _, best = max(candidates)
+        self._send(best, messages.TimeoutNow(term=self.term, leader=self.id))
+        return True
+
+    def take_ready(self) -> Ready | None:
+        """Return what is to be done now, or None.
+
+        :returns: what to save, send and apply
+        """
+        if self.is_leader:
+            for id, progress in self._progress.items():
+                if progress.next_index <= self.log.last_index:
+                    self._replicate(id)
+        ready = Ready(
+            hard_state=self._take_hard_state(),
+            batch=self._take_batch(),
+            snapshot=self._installed,
+            envelopes=self._envelopes,
+            committed=self._take_committed(),
+        )
+        self._installed = None
+        self._envelopes = []
+        parts = (
+            ready.hard_state,
+            ready.batch,
+            ready.snapshot,
+            ready.envelopes,
+            ready.committed,
+        )
+        return ready if any(parts) else None
+
+    def _take_hard_state(self) -> messages.HardState | None:
+        if not self._state_changed:
+            return None
+        self._state_changed = False
+        return messages.HardState(term=self.term, voted_for=self.voted_for)
+
+    def _take_batch(self) -> messages.Batch | None:
+        entries = self.log.get_from(max(self._new_from, self.log.first_index))
+        if not entries and not self._truncate_from:
+            return None
+        batch = messages.Batch(
+            truncate_from=self._truncate_from, entries=list(entries)
+        )
+        self._truncate_from = 0
+        self._new_from = self.log.last_index + 1
+        return batch
+
+    def _take_committed(self) -> list[messages.Entry]:
+        if self.applied >= self.commit:
+            return []
+        entries = self.log.get_from(self.applied + 1)
+        entries = entries[: self.commit - self.applied]
+        self.applied = self.commit
+        return list(entries)
+
+    def saved(self) -> None:
+        """Take note that everything taken so far is on disk."""
+        self._saved = self._new_from - 1
+        if self.is_leader:
+            self._advance_commit()
+
+    def compact(self, data: bytes) -> messages.SnapshotFile:
+        """Make a snapshot at the applied index.
+
+        :param data: the state machine at the applied index
+        :returns: the snapshot, to be saved
+        """
+        index = self.applied
+        term = self.log.get_term(index)
+        assert term is not None
+        head = messages.SnapshotHead(
+            index=index, term=term, members=self._get_members_at(index)
+        )
+        self.snapshot = messages.SnapshotFile(head=head, data=data)
+        self.log.compact(head)
+        return self.snapshot
+
+    def _get_members_at(self, index: int) -> list[messages.Member]:
+        members = self.log.head.members
+        for entry in self.log.get_from(self.log.first_index):
+            if entry.index > index:
+                break
+            if entry.kind is messages.EntryKind.MEMBERS:
+                members = log_module.decode_members(entry.data)
+        return members
--- /dev/null
+++ b/packages/bambooring/src/bambooring/replication/storage.py
@@ -0,0 +1,246 @@
+"""Keep a replica's state in files that survive a crash.
+
+The log is a file of records, one a write: a CRC-32, a length and a batch.
+A crash can tear the last record only, since a write is synced before the
+next begins. State and snapshot are replaced whole.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import os
+import pathlib
+import secrets
+import struct
+import typing
+import zlib
+
+from bambooring.replication import const
+from bambooring.replication import errors
+from bambooring.replication import log as log_module
+from bambooring.replication import messages
+from bambooring_core import codec
+from bambooring_core import errors as core_errors
+
+_HEADER = struct.Struct('<II')
+
+
+class Disk(typing.Protocol):
+    """Keep named files; what a call wrote lasts once it returns."""
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, or None if there is none."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to a file and sync it."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a file in place of another in one step and sync it."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size and sync it."""
+
+
+class FolderDisk:
+    """Keep files in one folder."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's bytes, or None if there is none."""
+        try:
+            return (self._folder / name).read_bytes()
+        except FileNotFoundError:
+            return None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes to a file and sync it."""
+        path = self._folder / name
+        is_new = not path.exists()
+        before = 0 if is_new else path.stat().st_size
+        try:
+            with path.open('ab') as file:
+                file.write(data)
+                file.flush()
+                os.fdatasync(file.fileno())
+        except OSError as error:
+            with contextlib.suppress(OSError):
+                os.truncate(path, before)
+            raise errors.StorageError(f'{path}: {error}') from error
+        if is_new:
+            self._sync_folder()
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a file in place of another in one step and sync it."""
+        path = self._folder / name
+        temporary = path.with_suffix('.new')
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            with temporary.open('wb') as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.rename(path)
+            self._sync_folder()
+        except OSError as error:
+            raise errors.StorageError(f'{path}: {error}') from error
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size and sync it."""
+        path = self._folder / name
+        try:
+            with path.open('r+b') as file:
+                file.truncate(size)
+                os.fsync(file.fileno())
+        except OSError as error:
+            raise errors.StorageError(f'{path}: {error}') from error
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Loaded:
+    """Hold what a data folder held."""
+
+    id: int
+    hard_state: messages.HardState
+    snapshot: messages.SnapshotFile | None
+    entries: list[messages.Entry]
+
+
+class Storage:
+    """Load and save a replica's state on a disk."""
+
+    def __init__(
+        self,
+        disk: Disk,
+        make_id: collections.abc.Callable[[], int] | None = None,
+    ) -> None:
+        self._disk = disk
+        self._make_id = make_id or (lambda: secrets.randbits(63) | 1)
+
+    def load(self) -> Loaded:
+        """Read everything, mending a torn tail.
+
+        :returns: what is there; a new identity if nothing is
+        :raises DamagedError: if a file's contents can't be trusted
+        :raises StorageError: if the disk can't be written
+        """
+        identity = self._load_one(const.FILE_IDENTITY)
+        if identity is None:
+            identity = messages.ReplicaIdentity(id=self._make_id())
+            self._save_one(const.FILE_IDENTITY, identity)
+        snapshot = self._load_one(const.FILE_SNAPSHOT)
+        return Loaded(
+            id=identity.id,
+            hard_state=(
+                self._load_one(const.FILE_STATE) or messages.HardState()
+            ),
+            snapshot=snapshot,
+            entries=self._load_entries(snapshot),
+        )
+
+    def save_state(self, state: messages.HardState) -> None:
+        """Save the term and the vote."""
+        self._save_one(const.FILE_STATE, state)
+
+    def append(self, batch: messages.Batch) -> None:
+        """Add a batch to the log's file."""
+        self._disk.append(const.FILE_LOG, _wrap(codec.pack(batch)))
+
+    def save_snapshot(
+        self,
+        snapshot: messages.SnapshotFile,
+        rest: list[messages.Entry],
+    ) -> None:
+        """Save a snapshot and cut the log's file down.
+
+        :param snapshot: the snapshot
+        :param rest: the entries that follow it
+        """
+        self._save_one(const.FILE_SNAPSHOT, snapshot)
+        batch = messages.Batch(truncate_from=0, entries=rest)
+        self._disk.replace(const.FILE_LOG, _wrap(codec.pack(batch)))
+
+    def _save_one(self, name: str, message: typing.Any) -> None:
+        self._disk.replace(name, _wrap(codec.pack(message)))
+
+    def _load_one(self, name: str) -> typing.Any:
+        data = self._disk.read(name)
+        if data is None:
+            return None
+        payload, end = _unwrap(data, 0)
+        if payload is None or end != len(data):
+            raise errors.DamagedError(f'{name}: damaged')
+        return _decode(name, payload)
+
+    def _load_entries(
+        self, snapshot: messages.SnapshotFile | None
+    ) -> list[messages.Entry]:
+        log = log_module.Log(snapshot.head if snapshot else None)
+        for batch in self._read_batches():
+            _replay(log, batch)
+        return log.get_from(log.first_index)
+
+    def _read_batches(self) -> collections.abc.Iterator[messages.Batch]:
+        data = self._disk.read(const.FILE_LOG) or b''
+        offset = 0
+        while offset < len(data):
+            payload, end = _unwrap(data, offset)
+            if payload is None:
+                self._mend_tail(data, offset)
+                return
+            yield _decode(const.FILE_LOG, payload)
+            offset = end
+
+    def _mend_tail(self, data: bytes, offset: int) -> None:
+        """Cut off a torn record if nothing good follows it."""
+        for start in range(offset + 1, len(data) - _HEADER.size):
+            payload, _ = _unwrap(data, start)
+            if payload:
+                raise errors.DamagedError(
+                    f'log: damaged at byte {offset}, good at {start}'
+                )
+        self._disk.truncate(const.FILE_LOG, offset)
+
+
+def _replay(log: log_module.Log, batch: messages.Batch) -> None:
+    if batch.truncate_from:
+        log.truncate(batch.truncate_from)
+    for entry in batch.entries:
+        if entry.index <= log.head.index:
+            continue
+        if entry.index != log.last_index + 1:
+            raise errors.DamagedError(
+                f'log: entry {entry.index} after {log.last_index}'
+            )
+        log.append([entry])
+
+
+def _wrap(payload: bytes) -> bytes:
+    return _HEADER.pack(zlib.crc32(payload), len(payload)) + payload
+
+
+def _unwrap(data: bytes, offset: int) -> tuple[bytes | None, int]:
+    """Return the record at an offset and the offset after it."""
+    if len(data) - offset < _HEADER.size:
+        return None, offset
+    crc, size = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    payload = data[start : start + size]
+    if not size or len(payload) < size or zlib.crc32(payload) != crc:
+        return None, offset
+    return payload, start + size
+
+
+def _decode(name: str, payload: bytes) -> typing.Any:
+    try:
+        return codec.unpack(payload)
+    except core_errors.FrameError as error:
+        raise errors.DamagedError(f'{name}: {error}') from error
--- /dev/null
+++ b/packages/bambooring/src/bambooring/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the target of each attempt."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/routing/messages.py
@@ -0,0 +1,13 @@
+"""Define what routing is told and asked."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Wish:
+    """Say what a target is wanted for; ``prefix`` is 0 for none."""
+
+    service: str
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    prefix: int = 0
+    cost: float = 1.0
--- /dev/null
+++ b/packages/core/src/bambooring_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the bambooring processes."""
--- /dev/null
+++ b/packages/core/src/bambooring_core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what an entry instance and an agent say to each other."""
--- /dev/null
+++ b/packages/core/src/bambooring_core/frames.py
@@ -0,0 +1,71 @@
+"""Cut a byte stream into length-prefixed frames.
+
+A frame is a 4-byte length, a 2-byte type, both little-endian, and the
+message's Cap'n Proto bytes. The length counts the message only.
+"""
+
+import collections.abc
+import struct
+import typing
+
+from bambooring_core import codec
+from bambooring_core import const
+from bambooring_core import errors
+
+_HEADER = struct.Struct('<IH')
+
+
+def encode(message: typing.Any) -> bytes:
+    """Encode a message with its frame header.
+
+    :param message: an instance of a registered class
+    :returns: the frame
+    :raises FrameError: if the message is over the limit
+    """
+    return join(codec.get_type_id(message), codec.encode(message))
+
+
+def join(type_id: int, payload: bytes) -> bytes:
+    """Put the frame header before an encoded message.
+
+    :param type_id: the frame type
+    :param payload: the encoded message
+    :returns: the frame
+    :raises FrameError: if the message is over the limit
+    """
+    if len(payload) > const.FRAME_LIMIT_BYTES:
+        raise errors.FrameError(f'frame of {len(payload)} bytes')
+    return _HEADER.pack(len(payload), type_id) + payload
+
+
+class FrameReader:
+    """Collect bytes and yield the messages in them."""
+
+    __slots__ = ('_buffer', '_limit')
+
+    def __init__(self, limit: int = const.FRAME_LIMIT_BYTES) -> None:
+        self._buffer = bytearray()
+        self._limit = limit
+
+    def feed(self, data: bytes) -> collections.abc.Iterator[typing.Any]:
+        """Add bytes and yield each message that is now complete.
+
+        :param data: the bytes that came in
+        :returns: the messages
+        :raises FrameError: if a frame is over the limit or malformed
+        """
+        self._buffer += data
+        offset = 0
+        try:
+            while len(self._buffer) - offset >= _HEADER.size:
+                size, type_id = _HEADER.unpack_from(self._buffer, offset)
+                if size > self._limit:
+                    raise errors.FrameError(f'frame of {size} bytes')
+                start = offset + _HEADER.size
+                if len(self._buffer) < start + size:
+                    return
+                offset = start + size
+                payload = bytes(memoryview(self._buffer)[start:offset])
+                yield codec.decode(type_id, payload)
+        finally:
+            del self._buffer[:offset]
--- /dev/null
+++ b/packages/core/src/bambooring_core/links.py
@@ -0,0 +1,418 @@
+"""Keep authenticated links with heartbeats to other processes."""
+
+import contextlib
+import dataclasses
+import errno
+import random
+import selectors
+import socket
+import types
+import typing
+
+import structlog
+
+from bambooring_core import const
+from bambooring_core import errors
+from bambooring_core import frames
+from bambooring_core import handshake
+from bambooring_core import identity as identity_module
+from bambooring_core import metrics
+from bambooring_core import reactor as reactor_module
+
+LOG = structlog.get_logger(__name__)
+
+_SILENCE_S = const.HEARTBEAT_INTERVAL_S * const.HEARTBEATS_MISSED
+
+
+class Handler(typing.Protocol):
+    """Receive what happens on a hub's links."""
+
+    def link_up(self, link: 'Link') -> None:
+        """Take note of a link that has proved its key."""
+
+    def link_down(self, link: 'Link') -> None:
+        """Take note of a link that ended after it was up."""
+
+    def receive(self, link: 'Link', message: typing.Any) -> None:
+        """Handle one message."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split 'IP:PORT'.
+
+    :param address: the text
+    :returns: the IP number and the port
+    """
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class Link:
+    """Own one connection to a peer."""
+
+    def __init__(
+        self, hub: 'LinkHub', sock: socket.socket, dialled: str | None
+    ) -> None:
+        self.hub = hub
+        self.dialled = dialled
+        self.peer: identity_module.Identity | None = None
+        self.is_up = False
+        self.is_open = True
+        self._socket = sock
+        self._reader = frames.FrameReader()
+        self._out = bytearray()
+        self._hello: handshake.Hello | None = None
+        self._nonce = handshake.make_nonce()
+        self._connecting = dialled is not None
+        self._write_watched = False
+        self._flush_due = False
+        now = hub.reactor.now()
+        self.last_received = now
+        self.last_sent = now
+        self.started = now
+
+    @property
+    def name(self) -> str:
+        """Return the peer's instance name, or its address."""
+        if self.peer is not None:
+            return self.peer.instance
+        return self.dialled or 'unknown'
+
+    def open(self) -> None:
+        """Start to watch the socket."""
+        events = selectors.EVENT_READ
+        if self._connecting:
+            events = selectors.EVENT_WRITE
+        self.hub.reactor.watch(self._socket, events, self._on_ready)
+
+    def send(self, message: typing.Any) -> None:
+        """Queue a message; it leaves at the end of this turn.
+
+        :param message: a registered message
+        """
+        self.send_frame(frames.encode(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queue an encoded frame."""
+        if not self.is_open:
+            return
+        self._out += frame
+        if len(self._out) > const.OUT_BUFFER_LIMIT_BYTES:
+            self.close('out_buffer_full')
+            return
+        if not self._flush_due:
+            self._flush_due = True
+            self.hub.reactor.call_soon(self._flush)
+
+    def close(self, reason: str) -> None:
+        """Close the connection and tell the hub.
+
+        :param reason: why, as counted
+        """
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.hub.reactor.unwatch(self._socket)
+        self._socket.close()
+        self.hub.forget(self, reason)
+
+    def _flush(self) -> None:
+        self._flush_due = False
+        if not self.is_open or self._connecting or not self._out:
+            return
+        try:
+            sent = self._socket.send(self._out)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close('write_failed')
+            return
+        del self._out[:sent]
+        self.last_sent = self.hub.reactor.now()
+        self._watch_write(bool(self._out))
+
+    def _watch_write(self, wanted: bool) -> None:
+        if wanted == self._write_watched:
+            return
+        self._write_watched = wanted
+        events = selectors.EVENT_READ
+        if wanted:
+            events |= selectors.EVENT_WRITE
+        self.hub.reactor.watch(self._socket, events, self._on_ready)
+
+    def _on_ready(self, events: int) -> None:
+        if not self.is_open:
+            return
+        if self._connecting:
+            self._finish_connect()
+            return
+        if events & selectors.EVENT_WRITE:
+            self._flush()
+        if events & selectors.EVENT_READ and self.is_open:
+            self._receive()
+
+    def _finish_connect(self) -> None:
+        if self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.close('connect_failed')
+            return
+        self._connecting = False
+        self._hello = handshake.Hello(
+            protocol=const.PROTOCOL_VERSION,
+            identity=self.hub.identity,
+            nonce=self._nonce,
+        )
+        self.hub.reactor.watch(
+            self._socket, selectors.EVENT_READ, self._on_ready
+        )
+        self.send(self._hello)
+
+    def _receive(self) -> None:
+        try:
+            data = self._socket.recv(const.READ_SIZE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close('read_failed')
+            return
+        if not data:
+            self.close('peer_closed')
+            return
+        self.last_received = self.hub.reactor.now()
+        try:
+            for message in self._reader.feed(data):
+                self._handle(message)
+                if not self.is_open:
+                    return
+        except errors.FrameError as error:
+            LOG.warning('frame refused', peer=self.name, error=str(error))
+            self.close('bad_frame')
+        except errors.HandshakeError as error:
+            LOG.warning('peer refused', peer=self.name, error=str(error))
+            self.close(str(error))
+
+    def _handle(self, message: typing.Any) -> None:
+        if self.is_up:
+            if not isinstance(message, handshake.Heartbeat):
+                self.hub.handler.receive(self, message)
+            return
+        if self.dialled is not None:
+            self._handle_welcome(message)
+        elif self._hello is None:
+            self._handle_hello(message)
+        else:
+            self._handle_proof(message)
+
+    def _handle_hello(self, message: typing.Any) -> None:
+        if not isinstance(message, handshake.Hello):
+            raise errors.HandshakeError('no_hello')
+        handshake.check_peer(message, self.hub.identity.cluster)
+        self._hello = message
+        proof = handshake.compute_proof(
+            self.hub.key, 'accept', message, self.hub.identity, self._nonce
+        )
+        self.send(
+            handshake.Welcome(
+                protocol=const.PROTOCOL_VERSION,
+                identity=self.hub.identity,
+                nonce=self._nonce,
+                proof=proof,
+            )
+        )
+
+    def _handle_welcome(self, message: typing.Any) -> None:
+        if not isinstance(message, handshake.Welcome):
+            raise errors.HandshakeError('no_welcome')
+        handshake.check_peer(message, self.hub.identity.cluster)
+        assert self._hello is not None
+        prove = [
+            handshake.compute_proof(
+                self.hub.key,
+                side,
+                self._hello,
+                message.identity,
+                message.nonce,
+            )
+            for side in ('accept', 'dial')
+        ]
+        handshake.check_proof(prove[0], message.proof)
+        self.send(handshake.Proof(proof=prove[1]))
+        self._set_up(message.identity)
+
+    def _handle_proof(self, message: typing.Any) -> None:
+        if not isinstance(message, handshake.Proof):
+            raise errors.HandshakeError('no_proof')
+        assert self._hello is not None
+        expected = handshake.compute_proof(
+            self.hub.key,
+            'dial',
+            self._hello,
+            self.hub.identity,
+            self._nonce,
+        )
+        handshake.check_proof(expected, message.proof)
+        self._set_up(self._hello.identity)
+
+    def _set_up(self, peer: identity_module.Identity) -> None:
+        self.peer = peer
+        self.is_up = True
+        self.hub.handler.link_up(self)
+
+    def check(self, now: float, sequence: int) -> None:
+        """Close a silent link, or send a heartbeat on a quiet one.
+
+        :param now: the current time in seconds
+        :param sequence: the heartbeat's number
+        """
+        if not self.is_up:
+            if now - self.started > const.HANDSHAKE_TIMEOUT_S:
+                self.close('handshake_timeout')
+            return
+        if now - self.last_received > _SILENCE_S:
+            self.close('silent')
+            return
+        self.send(handshake.Heartbeat(sequence=sequence))
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Dial:
+    """Hold the state of an address that is kept connected."""
+
+    address: str
+    delay_s: float = const.REDIAL_MIN_S
+    link: Link | None = None
+    timer: reactor_module.Timer | None = None
+
+
+class LinkHub:
+    """Accept and dial links for one process."""
+
+    def __init__(
+        self,
+        *,
+        reactor: reactor_module.Reactor,
+        identity: identity_module.Identity,
+        key: bytes,
+        handler: Handler,
+    ) -> None:
+        self.reactor = reactor
+        self.identity = identity
+        self.key = key
+        self.handler = handler
+        self._links: set[Link] = set()
+        self._dials: dict[str, _Dial] = {}
+        self._listener: socket.socket | None = None
+        self._sequence = 0
+        self._random = random.Random(identity.incarnation)
+
+    def __enter__(self) -> typing.Self:
+        self._listener = socket.create_server(
+            split_address(self.identity.address), backlog=1024
+        )
+        self._listener.setblocking(False)
+        self.reactor.watch(self._listener, selectors.EVENT_READ, self._accept)
+        self.reactor.call_every(const.HEARTBEAT_INTERVAL_S, self._check)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._dials.clear()
+        if self._listener is not None:
+            self.reactor.unwatch(self._listener)
+            self._listener.close()
+        for link in list(self._links):
+            link.close('stopping')
+
+    def get_links(self, role: str) -> list[Link]:
+        """Return the links that are up to peers of one role."""
+        return [
+            link
+            for link in self._links
+            if link.is_up and link.peer and link.peer.role == role
+        ]
+
+    def keep(self, address: str) -> None:
+        """Keep a link to an address, dialling again when it ends.
+
+        :param address: 'IP:PORT'
+        """
+        if address in self._dials or address == self.identity.address:
+            return
+        self._dials[address] = _Dial(address=address)
+        self._dial(address)
+
+    def drop(self, address: str) -> None:
+        """Stop keeping a link to an address."""
+        dial = self._dials.pop(address, None)
+        if dial is None:
+            return
+        if dial.timer is not None:
+            dial.timer.cancel()
+        if dial.link is not None:
+            dial.link.close('dropped')
+
+    def get_dialled(self) -> set[str]:
+        """Return the addresses that are kept connected."""
+        return set(self._dials)
+
+    def _dial(self, address: str) -> None:
+        dial = self._dials.get(address)
+        if dial is None:
+            return
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = Link(self, sock, address)
+        dial.link = link
+        dial.timer = None
+        self._links.add(link)
+        code = sock.connect_ex(split_address(address))
+        if code not in (0, errno.EINPROGRESS):
+            link.close('connect_failed')
+            return
+        link.open()
+
+    def _accept(self, events: int) -> None:
+        assert self._listener is not None
+        with contextlib.suppress(BlockingIOError, ConnectionError):
+            sock, _ = self._listener.accept()
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            link = Link(self, sock, None)
+            self._links.add(link)
+            link.open()
+
+    def forget(self, link: Link, reason: str) -> None:
+        """Take note that a link has closed.
+
+        :param link: the closed link
+        :param reason: why, as counted
+        """
+        self._links.discard(link)
+        metrics.LINKS_CLOSED.labels(reason=reason).inc()
+        dial = self._dials.get(link.dialled or '')
+        if dial is not None and dial.link is link:
+            self._schedule_dial(dial, link.is_up)
+        if link.is_up:
+            link.is_up = False
+            LOG.info('link closed', peer=link.name, reason=reason)
+            self.handler.link_down(link)
+
+    def _schedule_dial(self, dial: _Dial, was_up: bool) -> None:
+        dial.link = None
+        if was_up:
+            dial.delay_s = const.REDIAL_MIN_S
+        delay = dial.delay_s * self._random.uniform(0.5, 1.0)
+        dial.delay_s = min(dial.delay_s * 2, const.REDIAL_MAX_S)
+        dial.timer = self.reactor.call_later(
+            delay, lambda: self._dial(dial.address)
+        )
+
+    def _check(self) -> None:
+        now = self.reactor.now()
+        self._sequence += 1
+        for link in list(self._links):
+            link.check(now, self._sequence)
--- /dev/null
+++ b/packages/core/src/bambooring_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the announcements that targets and entry instances spread."""
--- /dev/null
+++ b/packages/core/src/bambooring_core/metrics.py
@@ -0,0 +1,14 @@
+"""Hold the counters that every process has."""
+
+import prometheus_client
+
+LINKS_CLOSED = prometheus_client.Counter(
+    'bambooring_links_closed_total',
+    'Links between processes that ended, by reason.',
+    ['reason'],
+)
+
+
+def render() -> bytes:
+    """Return every metric in the text format."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/packages/core/src/bambooring_core/operations.py
@@ -0,0 +1,85 @@
+"""Serve health and metrics apart from the callers' side."""
+
+import collections.abc
+import typing
+
+import werkzeug.wrappers
+
+from bambooring_core import http
+from bambooring_core import links
+from bambooring_core import metrics
+
+MAX_BODY_BYTES = 1024 * 1024
+
+Application = collections.abc.Callable[..., typing.Any]
+Probe = collections.abc.Callable[[], bool]
+
+
+def answer_probe(
+    path: str, is_ready: Probe
+) -> werkzeug.wrappers.Response | None:
+    """Answer a health or metrics request.
+
+    :param path: the request's path
+    :param is_ready: tells whether the process takes work
+    :returns: the response, or None for any other path
+    """
+    if path == '/health/live':
+        return werkzeug.wrappers.Response('live\n')
+    if path == '/health/ready':
+        if is_ready():
+            return werkzeug.wrappers.Response('ready\n')
+        return werkzeug.wrappers.Response('not ready\n', status=503)
+    if path == '/metrics':
+        return werkzeug.wrappers.Response(
+            metrics.render(), content_type='text/plain; version=0.0.4'
+        )
+    return None
+
+
+def wrap_probes(inner: Application, is_ready: Probe) -> Application:
+    """Make an application that answers probes before another one.
+
+    :param inner: the WSGI application for every other path
+    :param is_ready: tells whether the process takes work
+    :returns: the WSGI application
+    """
+
+    def application(environ: dict, start_response: typing.Any) -> typing.Any:
+        response = answer_probe(environ['PATH_INFO'], is_ready)
+        if response is not None:
+            return response(environ, start_response)
+        return inner(environ, start_response)
+
+    return application
+
+
+def _answer_missing(
+    environ: dict, start_response: typing.Any
+) -> collections.abc.Iterable[bytes]:
+    missing = werkzeug.wrappers.Response('not found\n', status=404)
+    return missing(environ, start_response)
+
+
+def make_server(
+    address: str,
+    threads: int,
+    is_ready: Probe,
+    extra: Application | None = None,
+) -> http.HttpServer:
+    """Make the server for the platform and the operators.
+
+    :param address: 'IP:PORT'
+    :param threads: the size of its own pool
+    :param is_ready: tells whether the process takes work
+    :param extra: a WSGI application for every other path
+    :returns: the server, to be entered
+    """
+
+    application = wrap_probes(extra or _answer_missing, is_ready)
+    return http.HttpServer(
+        address=links.split_address(address),
+        application=application,
+        threads=threads,
+        max_body_bytes=MAX_BODY_BYTES,
+    )
--- /dev/null
+++ b/packages/core/src/bambooring_core/reactor.py
@@ -0,0 +1,182 @@
+"""Run one task that owns its sockets, its timers and its state."""
+
+import collections
+import collections.abc
+import contextlib
+import heapq
+import itertools
+import queue
+import selectors
+import socket
+import time
+import types
+import typing
+
+from bambooring_core import clock as clock_module
+
+Callback = collections.abc.Callable[[], None]
+SocketCallback = collections.abc.Callable[[int], None]
+
+_MAX_WAIT_S = 1.0
+
+
+class Timer:
+    """Stand for a callback that is due at a time."""
+
+    __slots__ = ('callback', 'due')
+
+    def __init__(self, due: float, callback: Callback) -> None:
+        self.due = due
+        self.callback: Callback | None = callback
+
+    def cancel(self) -> None:
+        """Keep the callback from running."""
+        self.callback = None
+
+
+class Reactor:
+    """Wait for sockets, timers and posted messages in one thread.
+
+    Other threads may only call :meth:`post` and :meth:`stop`.
+    """
+
+    def __init__(self, clock: clock_module.Clock | None = None) -> None:
+        self.clock = clock or clock_module.MonotonicClock()
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._sequence = itertools.count()
+        self._mailbox: queue.SimpleQueue[Callback] = queue.SimpleQueue()
+        self._stopping = False
+        self._signalled = False
+        self._soon: collections.deque[Callback] = collections.deque()
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._wake_in.setblocking(False)
+        self._wake_out.setblocking(False)
+        self.watch(self._wake_in, selectors.EVENT_READ, self._drain_wake)
+        self.busy_s = 0.0
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._selector.close()
+        self._wake_in.close()
+        self._wake_out.close()
+
+    def now(self) -> float:
+        """Return the current time in seconds."""
+        return self.clock.now()
+
+    def post(self, callback: Callback) -> None:
+        """Run a callback in the reactor's thread; callable from any thread.
+
+        :param callback: what to run
+        """
+        self._mailbox.put(callback)
+        if not self._signalled:
+            self._signalled = True
+            with contextlib.suppress(BlockingIOError, OSError):
+                self._wake_out.send(b'\0')
+
+    def stop(self) -> None:
+        """End :meth:`run`; callable from any thread."""
+        self.post(self._set_stopping)
+
+    def _set_stopping(self) -> None:
+        self._stopping = True
+
+    def _drain_wake(self, events: int) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self._wake_in.recv(4096)
+        self._signalled = False
+        with contextlib.suppress(queue.Empty):
+            while True:
+                self._mailbox.get_nowait()()
+
+    def watch(
+        self,
+        channel: socket.socket | int,
+        events: int,
+        callback: SocketCallback,
+    ) -> None:
+        """Call back when a socket is ready, replacing an earlier watch.
+
+        :param channel: the socket or its descriptor
+        :param events: selectors.EVENT_READ, EVENT_WRITE or both
+        :param callback: what to call with the ready events
+        """
+        try:
+            self._selector.modify(channel, events, callback)
+        except (KeyError, OSError):
+            self._selector.register(channel, events, callback)
+
+    def unwatch(self, channel: socket.socket | int) -> None:
+        """Stop watching a socket."""
+        with contextlib.suppress(KeyError, ValueError, OSError):
+            self._selector.unregister(channel)
+
+    def call_later(self, delay_s: float, callback: Callback) -> Timer:
+        """Run a callback after a delay.
+
+        :param delay_s: the delay in seconds
+        :param callback: what to run
+        :returns: a timer that can be cancelled
+        """
+        timer = Timer(self.now() + delay_s, callback)
+        heapq.heappush(self._timers, (timer.due, next(self._sequence), timer))
+        return timer
+
+    def call_every(self, interval_s: float, callback: Callback) -> None:
+        """Run a callback at an interval for as long as the reactor runs.
+
+        :param interval_s: the interval in seconds
+        :param callback: what to run
+        """
+
+        def run() -> None:
+            self.call_later(interval_s, run)
+            callback()
+
+        self.call_later(interval_s, run)
+
+    def call_soon(self, callback: Callback) -> None:
+        """Run a callback at the end of this turn of the loop.
+
+        :param callback: what to run
+        """
+        self._soon.append(callback)
+
+    def run(self) -> None:
+        """Run until stopped."""
+        while not self._stopping:
+            self.turn()
+
+    def turn(self) -> None:
+        """Wait for what is next and handle it."""
+        ready = self._selector.select(self._get_wait())
+        start = time.perf_counter()
+        for key, events in ready:
+            key.data(events)
+        self._run_timers()
+        while self._soon:
+            self._soon.popleft()()
+        self.busy_s += time.perf_counter() - start
+
+    def _get_wait(self) -> float:
+        if self._soon:
+            return 0.0
+        if not self._timers:
+            return _MAX_WAIT_S
+        return min(_MAX_WAIT_S, max(0.0, self._timers[0][0] - self.now()))
+
+    def _run_timers(self) -> None:
+        now = self.now()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if timer.callback is not None:
+                timer.callback()
--- /dev/null
+++ b/packages/core/src/bambooring_core/settings.py
@@ -0,0 +1,122 @@
+"""Read settings in JSON with comments and check them by schema."""
+
+import hashlib
+import pathlib
+import re
+import typing
+
+import json5
+import voluptuous
+
+from bambooring_core import errors
+
+_LINE = re.compile(r':(\d+)')
+
+
+def read_file(path: pathlib.Path) -> typing.Any:
+    """Read a file in JSON with comments.
+
+    :param path: the file
+    :returns: the value in it
+    :raises SettingsError: if it can't be read or parsed
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(f'{path}: {error}') from error
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as error:
+        found = _LINE.search(str(error))
+        where = f':{found.group(1)}' if found else ''
+        raise errors.SettingsError(f'{path}{where}: {error}') from error
+
+
+def check(
+    value: typing.Any, schema: voluptuous.Schema, path: pathlib.Path
+) -> typing.Any:
+    """Check a value by schema.
+
+    :param value: what was read
+    :param schema: what is expected
+    :param path: the file it came from, for the error
+    :returns: the value with its defaults filled in
+    :raises SettingsError: naming file, line, key path and expectation
+    """
+    try:
+        return schema(value)
+    except voluptuous.MultipleInvalid as error:
+        lines = [_describe(one, path) for one in error.errors]
+        raise errors.SettingsError('\n'.join(lines)) from error
+
+
+def _describe(error: voluptuous.Invalid, path: pathlib.Path) -> str:
+    keys = [str(key) for key in error.path]
+    line = _find_line(path, keys)
+    where = f':{line}' if line else ''
+    return f'{path}{where}: {".".join(keys) or "(top)"}: {error.msg}'
+
+
+def _find_line(path: pathlib.Path, keys: list[str]) -> int | None:
+    """Return the line of a key path, following the keys in order."""
+    if not path.is_file():
+        return None
+    lines = path.read_text().splitlines()
+    line = 0
+    for key in keys:
+        pattern = re.compile(rf'''(^|[\s,{{])["']?{re.escape(key)}["']?\s*:''')
+        found = (
+            index
+            for index, text in enumerate(lines[line:], line)
+            if pattern.search(text)
+        )
+        line = next(found, line)
+    return line + 1 if keys else None
+
+
+def check_address(value: typing.Any) -> str:
+    """Check that a value is 'IP:PORT'."""
+    if not isinstance(value, str) or not re.fullmatch(
+        r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}', value
+    ):
+        raise voluptuous.Invalid('expected IP:PORT')
+    return value
+
+
+def check_name(value: typing.Any) -> str:
+    """Check that a value is a short name."""
+    if not isinstance(value, str) or not re.fullmatch(
+        r'[a-z0-9][a-z0-9._-]{0,62}', value
+    ):
+        raise voluptuous.Invalid(
+            'expected a name of a-z, 0-9, ".", "_", "-", 63 at most'
+        )
+    return value
+
+
+def check_digest(value: typing.Any) -> str:
+    """Check that a value is a SHA-256 digest in hexadecimal."""
+    if not isinstance(value, str) or not re.fullmatch(r'[0-9a-f]{64}', value):
+        raise voluptuous.Invalid('expected 64 hexadecimal digits (SHA-256)')
+    return value
+
+
+def compute_digest(secret: str) -> str:
+    """Return the SHA-256 digest of a key, as settings hold it."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def read_key(path: pathlib.Path) -> bytes:
+    """Read a shared key.
+
+    :param path: the key's file
+    :returns: the key without surrounding white space
+    :raises SettingsError: if it can't be read or is too short
+    """
+    try:
+        key = path.read_bytes().strip()
+    except OSError as error:
+        raise errors.SettingsError(f'{path}: {error}') from error
+    if len(key) < 16:
+        raise errors.SettingsError(f'{path}: expected 16 bytes or more')
+    return key
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems that bambooring meets."""
