Send a stream's head when the target opens it

Cause: traced hops showed head, hand-over and first write in a row on the critical path of the first token, 1.2 ms of about 4 ms added; garbage collection stopped the loop now and then. Change: the head goes out on Opened; until the first byte of the body another target may still take over if its head is the same. What is made before the loop runs is frozen out of the collector's rounds. Ruled out: the codec (22 us to encode and 62 us to decode a start) and the choice of target (31 us). Before: added 4.3 ms p50, 7.9 ms p95, first token p99 49.9 ms.

--- a/packages/bambooring/src/bambooring/dispatch/const.py
+++ b/packages/bambooring/src/bambooring/dispatch/const.py
@@ -10,6 +10,7 @@
 ATTEMPTS_LIMIT: typing.Final = 4
 
 REASON_AGENT_RESTARTED: typing.Final = 'agent_restarted'
+REASON_ANSWER_CHANGED: typing.Final = 'answer_changed'
 REASON_BOOKING_HELD: typing.Final = 'booking_held'
 REASON_CLAIM_FULL: typing.Final = 'claims_full'
 REASON_CLAIM_MISMATCH: typing.Final = 'key_reused'
--- a/packages/bambooring/src/bambooring/dispatch/state.py
+++ b/packages/bambooring/src/bambooring/dispatch/state.py
@@ -45,6 +45,7 @@
     arrived: float
     claim: int = 0
     attempt: Attempt | None = None
+    head: wire.Opened | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     attempts: int = 0
     error_retries: int = 0
@@ -331,8 +332,8 @@
         """
         for opened in output.opened:
             running = self._find(opened.attempt, sender)
-            if running is not None and running.attempt is not None:
-                running.attempt.head = opened
+            if running is not None:
+                yield from self._open(running, opened, now)
         for chunk in output.get_chunks():
             running = self._find(chunk.attempt, sender)
             if running is not None:
@@ -342,6 +343,37 @@
             if running is not None:
                 yield from self._take_end(running, ended, now)
 
+    def _open(
+        self, running: _Running, opened: wire.Opened, now: float
+    ) -> Effects:
+        """Take a head; that of a stream goes to the caller at once.
+
+        Another target may still take over until the first byte of the
+        body, as long as its head is the same.
+        """
+        attempt = running.attempt
+        assert attempt is not None
+        attempt.head = opened
+        if running.is_released or running.is_claimed:
+            return
+        if running.head is not None:
+            if not _is_same_head(running.head, opened):
+                yield from self._abandon(running)
+                yield from self._fail(
+                    running,
+                    502,
+                    const.REASON_ANSWER_CHANGED,
+                    wire.Outcome.UNKNOWN,
+                    now,
+                )
+        elif _is_stream(opened):
+            yield from self._tell_head(running, opened)
+
+    def _tell_head(self, running: _Running, opened: wire.Opened) -> Effects:
+        running.head = opened
+        head = messages.Head(status=opened.status, headers=opened.headers)
+        yield from self._tell(running, head)
+
     def _take_chunk(self, running: _Running, chunk: wire.Chunk) -> Effects:
         attempt = running.attempt
         assert attempt is not None
@@ -381,10 +413,8 @@
         assert attempt is not None
         assert attempt.head is not None
         running.is_released = True
-        head = messages.Head(
-            status=attempt.head.status, headers=attempt.head.headers
-        )
-        yield from self._tell(running, head)
+        if running.head is None:
+            yield from self._tell_head(running, attempt.head)
         for part in attempt.parts:
             yield from self._tell(running, messages.Data(data=part))
         attempt.parts = []
@@ -701,3 +731,15 @@
     if attempt.lost_at is None:
         return False
     return now >= attempt.lost_at + const.RESUME_WAIT_S
+
+
+def _is_stream(opened: wire.Opened) -> bool:
+    return opened.status == 200 and any(
+        header.name.lower() == 'content-type'
+        and header.value.startswith('text/event-stream')
+        for header in opened.headers
+    )
+
+
+def _is_same_head(first: wire.Opened, second: wire.Opened) -> bool:
+    return first.status == second.status and first.headers == second.headers
--- a/packages/core/src/bambooring_core/reactor.py
+++ b/packages/core/src/bambooring_core/reactor.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import contextlib
+import gc
 import heapq
 import itertools
 import queue
@@ -152,7 +153,13 @@
         self._soon.append(callback)
 
     def run(self) -> None:
-        """Run until stopped."""
+        """Run until stopped.
+
+        What was made until now stays for good; it is taken out of the
+        garbage collector's rounds, which would stop the loop to scan it.
+        """
+        gc.collect()
+        gc.freeze()
         while not self._stopping:
             self.turn()
 
