--- a/packages/agent/src/bambooring_agent/commands.py
+++ b/packages/agent/src/bambooring_agent/commands.py
@@ -9,8 +9,10 @@
 from bambooring_agent import process
 from bambooring_agent import schema
 from bambooring_core import errors
+from bambooring_core import identity
 from bambooring_core import logs
 from bambooring_core import reactor as reactor_module
+from bambooring_core import settings as core_settings
 
 EXIT_SETTINGS = 2
 
@@ -48,7 +50,14 @@
     )
     with reactor_module.Reactor() as reactor:
         try:
-            agent = process.Agent(settings, reactor)
+            agent = process.Agent(
+                settings,
+                reactor=reactor,
+                key=core_settings.read_key(
+                    pathlib.Path(settings[const.CONF_KEY_FILE])
+                ),
+                incarnation=identity.draw_incarnation(),
+            )
         except errors.SettingsError as error:
             _fail(error)
         signal.signal(signal.SIGTERM, lambda *args: agent.leave())
--- a/packages/agent/src/bambooring_agent/process.py
+++ b/packages/agent/src/bambooring_agent/process.py
@@ -1,6 +1,6 @@
 """Put the agent's parts together and run them in one thread."""
 
-import pathlib
+import collections.abc
 import random
 import typing
 
@@ -9,6 +9,7 @@
 from bambooring_agent.announcements import const as announcements_const
 from bambooring_agent.announcements import state as announcements
 from bambooring_agent import const
+from bambooring_agent.engine import messages as engine_messages
 from bambooring_agent.engine import task as engine_task
 from bambooring_agent.gate import messages as gate_messages
 from bambooring_agent.gate import state as gate_state
@@ -19,18 +20,25 @@
 from bambooring_core import links
 from bambooring_core import operations
 from bambooring_core import reactor as reactor_module
-from bambooring_core import settings as settings_module
 
 LOG = structlog.get_logger(__name__)
 
 
+MakeEngine = collections.abc.Callable[..., engine_messages.Engine]
+
+
 class Agent:
     """Run one target's slot."""
 
     def __init__(
         self,
         settings: dict[str, typing.Any],
+        *,
         reactor: reactor_module.Reactor,
+        key: bytes,
+        incarnation: int,
+        make_engine: MakeEngine = engine_task.Engine,
+        make_hub: links.MakeHub = links.LinkHub,
     ) -> None:
         engine = settings[const.CONF_ENGINE]
         self._settings = settings
@@ -41,7 +49,7 @@
             role=core_const.ROLE_AGENT,
             failure_domain=settings[const.CONF_FAILURE_DOMAIN],
             address=settings[const.CONF_LISTEN][const.CONF_PEERS],
-            incarnation=identity_module.draw_incarnation(),
+            incarnation=incarnation,
         )
         self._gate = gate_state.Gate(
             limits=gate_state.GateLimits(
@@ -61,15 +69,13 @@
             incarnation=self._identity.incarnation,
             slots=engine[const.CONF_SLOTS],
         )
-        self._hub = links.LinkHub(
+        self._hub = make_hub(
             reactor=reactor,
             identity=self._identity,
-            key=settings_module.read_key(
-                pathlib.Path(settings[const.CONF_KEY_FILE])
-            ),
+            key=key,
             handler=self,
         )
-        self._engine = engine_task.Engine(
+        self._engine = make_engine(
             reactor=reactor,
             url=engine[const.CONF_URL],
             health_path=engine[const.CONF_HEALTH_PATH],
@@ -87,16 +93,20 @@
             address, const.OPERATOR_THREADS, lambda: self._gate.is_ready
         )
         with self._hub, self._engine, server:
-            self._reactor.call_every(const.TICK_INTERVAL_S, self._tick)
-            self._reactor.call_every(const.LOAD_INTERVAL_S, self._report_load)
-            self._reactor.call_every(
-                announcements_const.ANNOUNCE_INTERVAL_S, self._announce
-            )
-            self._choose_receivers()
+            self.set_up()
             LOG.info('agent runs', address=self._identity.address)
             self._reactor.run()
         LOG.info('agent ends')
 
+    def set_up(self) -> None:
+        """Begin what is done at intervals."""
+        self._reactor.call_every(const.TICK_INTERVAL_S, self._tick)
+        self._reactor.call_every(const.LOAD_INTERVAL_S, self._report_load)
+        self._reactor.call_every(
+            announcements_const.ANNOUNCE_INTERVAL_S, self._announce
+        )
+        self._choose_receivers()
+
     def leave(self) -> None:
         """Begin to leave; callable from any thread."""
         self._reactor.post(self._leave)
--- a/packages/bambooring/src/bambooring/callers/streams.py
+++ b/packages/bambooring/src/bambooring/callers/streams.py
@@ -15,9 +15,9 @@
 from bambooring.callers import answers
 from bambooring.callers import const
 from bambooring.dispatch import messages as dispatch
+from bambooring_core.dispatch import messages as wire
 from bambooring_core import http
 from bambooring_core import reactor as reactor_module
-from bambooring_core.dispatch import messages as wire
 
 Ends = queue.SimpleQueue[dispatch.Event]
 Cancel = collections.abc.Callable[[], None]
--- a/packages/bambooring/src/bambooring/control.py
+++ b/packages/bambooring/src/bambooring/control.py
@@ -1,7 +1,7 @@
 """Put a control replica's parts together and run them in one thread."""
 
+import collections.abc
 import functools
-import pathlib
 import random
 import time
 import typing
@@ -31,7 +31,6 @@
 from bambooring_core import links
 from bambooring_core import operations
 from bambooring_core import reactor as reactor_module
-from bambooring_core import settings as settings_module
 
 LOG = structlog.get_logger(__name__)
 
@@ -58,7 +57,13 @@
     def __init__(
         self,
         settings: dict[str, typing.Any],
+        *,
         reactor: reactor_module.Reactor,
+        key: bytes,
+        incarnation: int,
+        disk: storage_module.Disk,
+        get_time: collections.abc.Callable[[], float] = time.time,
+        make_hub: links.MakeHub = links.LinkHub,
     ) -> None:
         self._settings = settings
         self._reactor = reactor
@@ -69,29 +74,24 @@
             role=core_const.ROLE_CONTROL,
             failure_domain=settings[const.CONF_FAILURE_DOMAIN],
             address=settings[const.CONF_LISTEN][const.CONF_PEERS],
-            incarnation=identity_module.draw_incarnation(),
+            incarnation=incarnation,
         )
         self._random = random.Random(self._identity.incarnation)
         self._machine = machine_module.ControlMachine()
-        disk = storage_module.FolderDisk(
-            pathlib.Path(settings[const.CONF_DATA_FOLDER])
-        )
         self._replicator = replication_task.Replicator(
             storage=storage_module.Storage(disk),
             machine=self._machine,
             name=self._identity.instance,
             names=sorted(self._replicas),
             send=self._send_to_replica,
-            stamp=replication_task.make_stamper(time.time),
+            stamp=replication_task.make_stamper(get_time),
             rng=self._random,
             now=reactor.now(),
         )
-        self._hub = links.LinkHub(
+        self._hub = make_hub(
             reactor=reactor,
             identity=self._identity,
-            key=settings_module.read_key(
-                pathlib.Path(settings[const.CONF_KEY_FILE])
-            ),
+            key=key,
             handler=self,
         )
         self._proposer = proposer_module.Proposer(self._random)
@@ -114,19 +114,21 @@
             api.Api(self, self._settings[const.CONF_OPERATOR_KEYS]),
         )
         with self._hub, server:
-            for name, address in self._replicas.items():
-                if name != self._identity.instance:
-                    self._hub.keep(address)
-            self._reactor.call_every(
-                replication_const.TICK_INTERVAL_S, self._tick
-            )
-            self._reactor.call_every(
-                replication_const.GREETING_INTERVAL_S, self._greet_all
-            )
+            self.set_up()
             LOG.info('control replica runs', address=self._identity.address)
             self._reactor.run()
         LOG.info('control replica ends')
 
+    def set_up(self) -> None:
+        """Begin to dial and what is done at intervals."""
+        for name, address in self._replicas.items():
+            if name != self._identity.instance:
+                self._hub.keep(address)
+        self._reactor.call_every(replication_const.TICK_INTERVAL_S, self._tick)
+        self._reactor.call_every(
+            replication_const.GREETING_INTERVAL_S, self._greet_all
+        )
+
     def leave(self) -> None:
         """Hand leadership on, then stop; callable from any thread."""
         self._reactor.post(self._leave)
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -1,12 +1,11 @@
 """Put an entry instance's parts together; one thread owns the state."""
 
+import collections.abc
 import contextlib
-import pathlib
 import queue
 import random
 import socket
 import threading
-import time
 import typing
 
 import structlog
@@ -37,7 +36,6 @@
 from bambooring_core import links
 from bambooring_core import operations
 from bambooring_core import reactor as reactor_module
-from bambooring_core import settings as settings_module
 
 LOG = structlog.get_logger(__name__)
 
@@ -51,7 +49,11 @@
     def __init__(
         self,
         settings: dict[str, typing.Any],
+        *,
         reactor: reactor_module.Reactor,
+        key: bytes,
+        incarnation: int,
+        make_hub: links.MakeHub = links.LinkHub,
     ) -> None:
         now = reactor.now()
         self._settings = settings
@@ -62,15 +64,13 @@
             role=core_const.ROLE_ENTRY,
             failure_domain=settings[const.CONF_FAILURE_DOMAIN],
             address=settings[const.CONF_LISTEN][const.CONF_PEERS],
-            incarnation=identity_module.draw_incarnation(),
+            incarnation=incarnation,
         )
         rng = random.Random(self._identity.incarnation)
-        self._hub = links.LinkHub(
+        self._hub = make_hub(
             reactor=reactor,
             identity=self._identity,
-            key=settings_module.read_key(
-                pathlib.Path(settings[const.CONF_KEY_FILE])
-            ),
+            key=key,
             handler=self,
         )
         self._directory = membership_state.Directory(
@@ -93,7 +93,7 @@
         self._agents: dict[str, links.Link] = {}
         self._subscribers: dict[links.Link, int] = {}
         self._sequence = 0
-        self._counter = _Counter()
+        self._counter = _Counter(reactor.now)
         self._leaving_since: float | None = None
 
     def run(self) -> None:
@@ -122,12 +122,13 @@
                     make_error=application.make_unread_error,
                 )
             )
-            self._set_up_links()
+            self.set_up()
             LOG.info('entry instance runs', address=self._identity.address)
             self._reactor.run()
         LOG.info('entry instance ends')
 
-    def _set_up_links(self) -> None:
+    def set_up(self) -> None:
+        """Begin to dial and what is done at intervals."""
         for address in self._settings[const.CONF_CONTROL]:
             self._hub.keep(address)
         for address in self._settings[const.CONF_PEERS]:
@@ -535,8 +536,9 @@
 class _Counter:
     """Count requests across the callers' threads."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: collections.abc.Callable[[], float]) -> None:
         self._lock = threading.Lock()
+        self._now = now
         self.running = 0
         self._last = 0.0
 
@@ -544,16 +546,16 @@
         """Count one more."""
         with self._lock:
             self.running += 1
-            self._last = time.monotonic()
+            self._last = self._now()
 
     def end(self) -> None:
         """Count one less."""
         with self._lock:
             self.running -= 1
-            self._last = time.monotonic()
+            self._last = self._now()
 
     def is_quiet(self) -> bool:
         """Tell whether none runs and none came for a while."""
         if self.running:
             return False
-        return time.monotonic() > self._last + QUIET_BEFORE_STOP_S
+        return self._now() > self._last + QUIET_BEFORE_STOP_S
--- a/packages/bambooring/src/bambooring/operators/commands.py
+++ b/packages/bambooring/src/bambooring/operators/commands.py
@@ -19,9 +19,11 @@
 from bambooring.operators import declarations
 from bambooring.operators import errors
 from bambooring.operators import tables
+from bambooring.replication import storage
 from bambooring import schema
 from bambooring_core import const as core_const
 from bambooring_core import errors as core_errors
+from bambooring_core import identity
 from bambooring_core import logs
 from bambooring_core import reactor as reactor_module
 from bambooring_core import settings as core_settings
@@ -118,10 +120,23 @@
 def _make_process(
     settings: dict[str, typing.Any], reactor: reactor_module.Reactor
 ) -> entry.Entry | control.Control:
+    key = core_settings.read_key(
+        pathlib.Path(settings[settings_const.CONF_KEY_FILE])
+    )
+    incarnation = identity.draw_incarnation()
     if settings[settings_const.CONF_ROLE] == core_const.ROLE_CONTROL:
-        return control.Control(settings, reactor)
+        folder = pathlib.Path(settings[settings_const.CONF_DATA_FOLDER])
+        return control.Control(
+            settings,
+            reactor=reactor,
+            key=key,
+            incarnation=incarnation,
+            disk=storage.FolderDisk(folder),
+        )
     sys.setswitchinterval(entry.SWITCH_INTERVAL_S)
-    return entry.Entry(settings, reactor)
+    return entry.Entry(
+        settings, reactor=reactor, key=key, incarnation=incarnation
+    )
 
 
 @main.command()
--- a/packages/bambooring/src/bambooring/replication/state.py
+++ b/packages/bambooring/src/bambooring/replication/state.py
@@ -104,6 +104,7 @@
         self._new_from = self.log.last_index + 1
         self._state_changed = False
         self._incoming = bytearray()
+        self._incoming_index = 0
         self._installed: messages.SnapshotFile | None = None
         self._term_start = 0
         self.members: dict[int, str] = {}
@@ -494,18 +495,23 @@
     def _send_snapshot(
         self, id: int, progress: Progress, is_heartbeat: bool
     ) -> None:
+        """Begin to send a snapshot, or send a chunk again that got lost.
+
+        What follows a chunk is sent when the follower asks for it.
+        """
         snapshot = self.snapshot
         assert snapshot is not None
         is_new = progress.snapshot_index != snapshot.head.index
         if is_new or progress.snapshot_offset is None:
             progress.snapshot_index = snapshot.head.index
             progress.snapshot_offset = 0
+            self._send_chunk(id, progress, snapshot)
         elif is_heartbeat:
             waited = self._now - progress.snapshot_sent
             if waited < const.ELECTION_TIMEOUT_S:
                 self._send_empty(id)
-                return
-        self._send_chunk(id, progress, snapshot)
+            else:
+                self._send_chunk(id, progress, snapshot)
 
     def _send_empty(self, id: int) -> None:
         """Send a heartbeat to a follower that is taking a snapshot."""
@@ -540,8 +546,9 @@
         if head.index <= self.commit:
             self._reply_snapshot(chunk, offset=0, is_done=True)
             return
-        if chunk.offset == 0:
+        if chunk.offset == 0 or head.index != self._incoming_index:
             self._incoming = bytearray()
+            self._incoming_index = head.index
         if chunk.offset != len(self._incoming):
             self._reply_snapshot(
                 chunk, offset=len(self._incoming), is_done=False
@@ -587,9 +594,14 @@
             progress.match = max(progress.match, reply.index)
             progress.next_index = max(progress.next_index, reply.index + 1)
             self._advance_commit()
-        else:
-            progress.snapshot_offset = reply.offset
-        self._replicate(reply.follower)
+            self._replicate(reply.follower)
+            return
+        snapshot = self.snapshot
+        if snapshot is None or snapshot.head.index != reply.index:
+            self._replicate(reply.follower)
+            return
+        progress.snapshot_offset = reply.offset
+        self._send_chunk(reply.follower, progress, snapshot)
 
     def _advance_commit(self) -> None:
         """Commit what a majority holds, if it is of this term."""
--- a/packages/bambooring/src/bambooring/replication/task.py
+++ b/packages/bambooring/src/bambooring/replication/task.py
@@ -32,7 +32,7 @@
         """Return the whole state."""
 
     def restore(self, data: bytes) -> None:
-        """Replace the whole state."""
+        """Replace the whole state; no bytes stand for an empty one."""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -58,7 +58,9 @@
         stamp: collections.abc.Callable[[bytes], bytes],
         rng: random.Random,
         now: float,
+        snapshot_after: int = const.SNAPSHOT_AFTER_ENTRIES,
     ) -> None:
+        self._snapshot_after = snapshot_after
         self._storage = storage
         self._machine = machine
         self._name = name
@@ -91,8 +93,7 @@
             self.formation = formation_module.Formation(
                 id=loaded.id, name=self._name, names=self._names
             )
-        if loaded.snapshot is not None:
-            self._machine.restore(loaded.snapshot.data)
+        self._machine.restore(loaded.snapshot.data if loaded.snapshot else b'')
 
     @property
     def is_leader(self) -> bool:
@@ -252,7 +253,7 @@
         assert self.replica is not None
         replica = self.replica
         held = replica.applied - replica.log.head.index
-        if held < const.SNAPSHOT_AFTER_ENTRIES:
+        if held < self._snapshot_after:
             return
         snapshot = replica.compact(self._machine.save())
         rest = [
--- a/packages/core/src/bambooring_core/links.py
+++ b/packages/core/src/bambooring_core/links.py
@@ -1,5 +1,6 @@
 """Keep authenticated links with heartbeats to other processes."""
 
+import collections.abc
 import contextlib
 import dataclasses
 import errno
@@ -37,6 +38,36 @@
         """Handle one message."""
 
 
+class Hub(typing.Protocol):
+    """Keep links; what :class:`LinkHub` does, as its users see it."""
+
+    def __enter__(self) -> typing.Self:
+        """Begin to accept and dial."""
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """Close every link."""
+
+    def get_links(self, role: str) -> list['Link']:
+        """Return the links that are up to peers of one role."""
+
+    def keep(self, address: str) -> None:
+        """Keep a link to an address."""
+
+    def drop(self, address: str) -> None:
+        """Stop keeping a link to an address."""
+
+    def get_dialled(self) -> set[str]:
+        """Return the addresses that are kept connected."""
+
+
+MakeHub = collections.abc.Callable[..., Hub]
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split 'IP:PORT'.
 
