Prove that an accepted configuration is in force soon and never reverts

Operators race under equal numbers and resend; instances restart, also in a cut-off domain; one knows an older schema. Change: a leader that can't be reached waits for the next resending; what is not understood is remembered until it is replaced. Ruled out: that the old instance lost records; they were equal.

--- a/packages/bambooring/src/bambooring/configuration/holder.py
+++ b/packages/bambooring/src/bambooring/configuration/holder.py
@@ -52,6 +52,7 @@
         self.records: dict[state.Key, messages.Record] = {}
         self.view = View()
         self._objects: dict[state.Key, typing.Any] = {}
+        self._not_understood: set[state.Key] = set()
         self._ready_at: float | None = None
 
     @property
@@ -108,27 +109,26 @@
         return True
 
     def _build_view(self) -> View:
-        view = View(revision=self.held)
         for key, record in self.records.items():
-            self._parse(key, record, view)
+            if record.revision > self.in_force:
+                self._parse(key, record)
+        view = View(
+            revision=self.held, unknown_schemas=len(self._not_understood)
+        )
         for item in self._objects.values():
             _add(item, view)
         return view
 
-    def _parse(
-        self, key: state.Key, record: messages.Record, view: View
-    ) -> None:
+    def _parse(self, key: state.Key, record: messages.Record) -> None:
         """Parse one record, keeping the last version understood."""
+        self._not_understood.discard(key)
         if record.is_deleted:
             self._objects.pop(key, None)
             return
-        if record.revision <= self.in_force:
-            if key in self._objects:
-                return
         try:
             self._objects[key] = self._parse_record(record.content)
         except errors.ConfigurationError as error:
-            view.unknown_schemas += 1
+            self._not_understood.add(key)
             LOG.warning(
                 'record kept but not understood',
                 kind=record.kind,
--- a/packages/bambooring/src/bambooring/replication/proposer.py
+++ b/packages/bambooring/src/bambooring/replication/proposer.py
@@ -105,7 +105,8 @@
             return
         if self._leader == sender:
             self._leader = ''
-        if message.leader and message.leader != sender:
+        if message.leader in self.reachable - {sender}:
+            # A leader that can't be reached waits for the next resending.
             self._leader = message.leader
             if pending is not None and pending.tried == sender:
                 yield from self._ask(pending, now)
--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -10,7 +10,14 @@
 
 from proofs import world as world_module
 
-NAMES = ('replication', 'bookings', 'answers', 'refusals', 'leaving')
+NAMES = (
+    'replication',
+    'configuration',
+    'bookings',
+    'answers',
+    'refusals',
+    'leaving',
+)
 
 
 def _run(name: str, seed: int, steps: int | None) -> world_module.Result:
--- a/proofs/cluster.py
+++ b/proofs/cluster.py
@@ -11,17 +11,17 @@
 import json
 import typing
 
-from bambooring import control as control_module
-from bambooring import entry as entry_module
 from bambooring.callers import errors as callers_errors
 from bambooring.callers import state as callers_state
 from bambooring.configuration import messages as configuration
 from bambooring.configuration import records
+from bambooring import control as control_module
 from bambooring.dispatch import messages as dispatch
+from bambooring import entry as entry_module
 from bambooring_agent import process as agent_module
 from bambooring_core import codec
-from bambooring_core import settings
 from bambooring_core.dispatch import messages as wire
+from bambooring_core import settings
 from proofs import disk as disk_module
 from proofs import network as network_module
 from proofs import world as world_module
--- a/proofs/network.py
+++ b/proofs/network.py
@@ -12,10 +12,10 @@
 import typing
 
 from bambooring_core import const
+from bambooring_core.dispatch import messages as wire
 from bambooring_core import frames
 from bambooring_core import identity as identity_module
 from bambooring_core import reactor as reactor_module
-from bambooring_core.dispatch import messages as wire
 from proofs import world as world_module
 
 SILENCE_S = const.HEARTBEAT_INTERVAL_S * const.HEARTBEATS_MISSED
