Stop a request that crashes targets after two of them

Change: every request in flight on a crashed target is a suspect by its digest, whoever sends it; suspects run one at a time on a target, never on one they were seen to crash, and are barred after two. What one entry has seen goes to the others at once. Ruled out: counting at one entry only, since a caller sends again through any; a lane that empties the target first, for its cost in capacity. An innocent request present at two crashes is barred too.

--- a/packages/agent/src/bambooring_agent/gate/const.py
+++ b/packages/agent/src/bambooring_agent/gate/const.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from bambooring_core.dispatch import messages as dispatch
+
 TOMBSTONE_S: typing.Final = 300.0
 ENDED_KEPT_S: typing.Final = 30.0
 DETACHED_LIMIT_S: typing.Final = 10.0
@@ -9,6 +11,12 @@
 SERVICE_TIME_WEIGHT: typing.Final = 0.1
 QUEUED_AFTER_LEAVE_S: typing.Final = 2.0
 
+LANE_ORDER: typing.Final = (
+    dispatch.Lane.SUSPECT,
+    dispatch.Lane.LONG,
+    dispatch.Lane.SHORT,
+)
+
 REASON_DUPLICATE: typing.Final = 'duplicate'
 REASON_EXPIRED: typing.Final = 'expired_in_queue'
 REASON_LEAVING: typing.Final = 'target_leaving'
--- a/packages/agent/src/bambooring_agent/gate/state.py
+++ b/packages/agent/src/bambooring_agent/gate/state.py
@@ -83,6 +83,7 @@
         self._service_s = {
             dispatch.Lane.SHORT: 1.0,
             dispatch.Lane.LONG: 10.0,
+            dispatch.Lane.SUSPECT: 1.0,
         }
         self._outputs: dict[int, dispatch.Output] = {}
 
@@ -114,6 +115,8 @@
         return ahead * self._service_s[lane] / slots
 
     def _get_slots(self, lane: dispatch.Lane) -> int:
+        if lane is dispatch.Lane.SUSPECT:
+            return 1
         if lane is dispatch.Lane.LONG:
             return min(self.limits.long_slots, self.limits.slots)
         return self.limits.slots
@@ -209,7 +212,7 @@
         self._tombstones[attempt] = (burial, now + const.TOMBSTONE_S)
 
     def _fill_slots(self, now: float) -> Effects:
-        for lane in (dispatch.Lane.LONG, dispatch.Lane.SHORT):
+        for lane in const.LANE_ORDER:
             while self._has_slot(lane):
                 attempt = self._queues[lane].pop()
                 if attempt is None:
--- a/packages/bambooring/src/bambooring/callers/state.py
+++ b/packages/bambooring/src/bambooring/callers/state.py
@@ -164,7 +164,6 @@
     call = _fill_call(request, account, service, path, kind, Estimate())
     if kind is wire.Kind.BOOKING:
         call.key = _get_key(request)
-        call.digest = _compute_digest(call)
     return call
 
 
@@ -205,7 +204,7 @@
     kind: wire.Kind,
     estimate: Estimate,
 ) -> dispatch.Call:
-    return dispatch.Call(
+    call = dispatch.Call(
         id=request.id,
         request_id=request.request_id,
         account=account,
@@ -223,3 +222,5 @@
         cost=estimate.cost,
         prefix=estimate.prefix,
     )
+    call.digest = _compute_digest(call)
+    return call
--- a/packages/bambooring/src/bambooring/dispatch/messages.py
+++ b/packages/bambooring/src/bambooring/dispatch/messages.py
@@ -92,4 +92,9 @@
     timeout_s: float
 
 
-Effect = ToTarget | ToCaller | Propose
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Spread:
+    """Ask for the news of the quarantine to be spread at once."""
+
+
+Effect = ToTarget | ToCaller | Propose | Spread
--- a/packages/bambooring/src/bambooring/dispatch/state.py
+++ b/packages/bambooring/src/bambooring/dispatch/state.py
@@ -15,6 +15,8 @@
 from bambooring.dispatch import const
 from bambooring.dispatch import messages
 from bambooring import metrics
+from bambooring.quarantine import const as quarantine_const
+from bambooring.quarantine import state as quarantine_state
 from bambooring.routing import budget as budget_module
 from bambooring.routing import messages as routing_messages
 from bambooring.routing import state as routing
@@ -74,9 +76,15 @@
     """Hold every call in progress on one entry instance."""
 
     def __init__(
-        self, *, router: routing.Router, rng: random.Random, now: float
+        self,
+        *,
+        router: routing.Router,
+        quarantine: quarantine_state.Quarantine,
+        rng: random.Random,
+        now: float,
     ) -> None:
         self._router = router
+        self._quarantine = quarantine
         self._rng = rng
         self._budget = budget_module.RetryBudget(now)
         self._calls: dict[int, _Running] = {}
@@ -219,9 +227,13 @@
     def _try(self, running: _Running, now: float) -> Effects:
         """Send the call to a target, or fail it."""
         call = running.call
+        crashed = self._quarantine.get_targets(call.digest, now)
+        if self._quarantine.is_barred(call.digest, now):
+            yield from self._bar(running, now)
+            return
         wish = routing_messages.Wish(
             service=call.service.name,
-            excluded=running.tried,
+            excluded=running.tried | crashed,
             prefix=call.prefix,
             cost=call.cost,
         )
@@ -241,8 +253,20 @@
         self._by_attempt[attempt.id] = running
         self._router.begin(target.name)
         start = self._make_start(running, attempt, now)
+        if crashed:
+            start.lane = wire.Lane.SUSPECT
         yield messages.ToTarget(target=target.name, message=start)
 
+    def _bar(self, running: _Running, now: float) -> Effects:
+        """Fail a call that was there when targets crashed."""
+        outcome = wire.Outcome.NOT_RUN
+        if running.has_run:
+            outcome = wire.Outcome.UNKNOWN
+        yield from self._release_claim(running)
+        yield from self._fail(
+            running, 422, quarantine_const.REASON_QUARANTINED, outcome, now
+        )
+
     def _make_start(
         self, running: _Running, attempt: Attempt, now: float
     ) -> wire.Start:
@@ -545,6 +569,11 @@
         now: float,
     ) -> Effects:
         """Go on after an attempt that may have run in part."""
+        attempt = running.attempt
+        if attempt and reason == quarantine_const.REASON_TARGET_LOST:
+            digest = running.call.digest
+            if self._quarantine.note(digest, [attempt.target], now):
+                yield messages.Spread()
         self._close_attempt(running, is_failure=True, now=now)
         running.has_run = True
         is_idempotent = running.call.kind is wire.Kind.IDEMPOTENT
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -26,6 +26,7 @@
 from bambooring.membership import state as membership_state
 from bambooring import metrics
 from bambooring.operators import messages as operators
+from bambooring.quarantine import state as quarantine_state
 from bambooring.replication import messages as replication
 from bambooring.replication import proposer as proposer_module
 from bambooring.routing import state as routing_state
@@ -82,8 +83,12 @@
         self._router = routing_state.Router(
             failure_domain=self._identity.failure_domain, rng=rng
         )
+        self._quarantine = quarantine_state.Quarantine()
         self._dispatcher = dispatch_state.Dispatcher(
-            router=self._router, rng=rng, now=now
+            router=self._router,
+            quarantine=self._quarantine,
+            rng=rng,
+            now=now,
         )
         self._admission = admission_state.Admission(
             max_running=settings[const.CONF_MAX_RUNNING]
@@ -268,6 +273,17 @@
                         link.send(effect.message)
                 case dispatch.Propose():
                     self._propose(effect)
+                case dispatch.Spread():
+                    self._spread_suspicions()
+
+    def _spread_suspicions(self) -> None:
+        news = self._quarantine.take_news(self._reactor.now())
+        if not news:
+            return
+        gossip = membership.Gossip(suspicions=news)
+        for link in self._hub.get_links(core_const.ROLE_ENTRY):
+            if link.dialled is not None:
+                link.send(gossip)
 
     def _propose(self, effect: dispatch.Propose) -> None:
         proposal, effects = self._proposer.submit(
@@ -410,6 +426,9 @@
             return
         if link.peer.role == core_const.ROLE_CONTROL:
             self._proposer.reachable.add(link.name)
+        else:
+            known = self._quarantine.describe_all(self._reactor.now())
+            link.send(membership.Gossip(suspicions=known))
         link.send(configuration.Subscribe(revision=self._holder.held))
 
     def _link_agent(self, link: links.Link) -> None:
@@ -473,6 +492,8 @@
             case membership.Gossip():
                 for announcement in self._directory.receive(message, now):
                     self._know_target(announcement)
+                self._quarantine.receive(message.suspicions, now)
+                self._spread_suspicions()
                 self._advance()
             case replication.Proposed():
                 self._carry_out_proposals(
--- /dev/null
+++ b/packages/bambooring/src/bambooring/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keep requests that crash targets from crashing more of them."""
--- a/packages/core/src/bambooring_core/dispatch/dispatch.capnp
+++ b/packages/core/src/bambooring_core/dispatch/dispatch.capnp
@@ -8,6 +8,7 @@
 enum Lane {
   short @0;
   long @1;
+  suspect @2;
 }
 
 enum Outcome {
--- a/packages/core/src/bambooring_core/dispatch/messages.py
+++ b/packages/core/src/bambooring_core/dispatch/messages.py
@@ -24,10 +24,15 @@
 
 
 class Lane(enum.StrEnum):
-    """Say how long a request is expected to run."""
+    """Say which slots an attempt may have.
+
+    Long ones have a bounded share. A suspect was running when a target
+    crashed; one suspect at a time runs on a target.
+    """
 
     SHORT = 'short'
     LONG = 'long'
+    SUSPECT = 'suspect'
 
 
 class Outcome(enum.StrEnum):
--- a/packages/core/src/bambooring_core/membership/membership.capnp
+++ b/packages/core/src/bambooring_core/membership/membership.capnp
@@ -25,7 +25,14 @@
   ageS @8 :Float64;
 }
 
+struct Suspicion {
+  digest @0 :Data;
+  targets @1 :List(Text);
+  ageS @2 :Float64;
+}
+
 struct Gossip {
   announcements @0 :List(Announcement);
   presences @1 :List(Presence);
+  suspicions @2 :List(Suspicion);
 }
--- a/packages/core/src/bambooring_core/membership/messages.py
+++ b/packages/core/src/bambooring_core/membership/messages.py
@@ -47,6 +47,19 @@
     age_s: float = 0.0
 
 
+@codec.register(SCHEMA)
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Suspicion:
+    """Name the targets that crashed while a request was running.
+
+    ``digest`` is that of the request, whoever sends it.
+    """
+
+    digest: bytes
+    targets: list[str]
+    age_s: float = 0.0
+
+
 @codec.register(SCHEMA, 32)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Gossip:
@@ -54,3 +67,4 @@
 
     announcements: list[Announcement] = dataclasses.field(default_factory=list)
     presences: list[Presence] = dataclasses.field(default_factory=list)
+    suspicions: list[Suspicion] = dataclasses.field(default_factory=list)
--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -64,6 +64,8 @@
             lambda: cluster.fault_cut(5.0),
             self.kill_entry,
             self.kill_entry,
+            self.split_domain,
+            self.split_domain,
             lambda: cluster.fault_kill(cluster.controls),
             lambda: cluster.fault_freeze(cluster.controls),
         ]
@@ -85,6 +87,42 @@
         self.in_force.pop(name, None)
         self.cluster.kill(name, self.world.rng.uniform(0.2, 4.0))
 
+    def split_domain(self) -> None:
+        """Kill an entry inside a cut-off domain, its neighbour behind.
+
+        The neighbour's links go silent first, so that it misses what comes
+        while nobody has noticed yet.
+        """
+        domain = self.world.rng.choice(self.cluster.domains)
+        here = [
+            name
+            for name in self.cluster.entries
+            if self.cluster.nodes[name].domain == domain
+        ]
+        if not all(self.is_settled(self.cluster.nodes[name]) for name in here):
+            return
+        first, second = self.world.rng.sample(here, 2)
+        self.world.fault('split', f'{first}, {second} behind')
+        hub = self.cluster.nodes[second].hub
+        assert hub is not None
+        for link in hub.links:
+            self.cluster.network.silence(link)
+        delay_s = self.world.rng.uniform(0.4, 1.2)
+        self.world.schedule(delay_s, lambda: self.cut_and_kill(domain, first))
+
+    def cut_and_kill(self, domain: str, name: str) -> None:
+        """Cut a domain off, without its replica, and restart an entry."""
+        node = self.cluster.nodes[name]
+        if not node.is_alive:
+            return
+        self.cluster.cut_domain(domain, 6.0)
+        for replica in self.cluster.controls:
+            if self.cluster.nodes[replica].domain == domain:
+                self.cluster.kill(replica, 8.0)
+        self.before_death[name] = node.process._holder.in_force
+        self.in_force.pop(name, None)
+        self.cluster.kill(name, 0.3)
+
     def is_settled(self, node) -> bool:
         """Tell whether a node has run and served for a while."""
         if not node.is_alive or node.process._holder.in_force == 0:
--- /dev/null
+++ b/proofs/poison.py
@@ -0,0 +1,115 @@
+"""Prove that a request that crashes targets stops after two of them.
+
+Callers send such a request again through any entry instance; the innocent
+requests in flight beside it are tried again and answered.
+"""
+
+import json
+
+from proofs import cluster as cluster_module
+from proofs import scenario
+from proofs import world as world_module
+
+DEFAULT_STEPS = 60_000
+POISON_S = 6.0
+RESENDS = 8
+MOST_CRASHES = 2
+MIN_WHOLE = 0.95
+
+
+class PoisonProof(scenario.Scenario):
+    """Send requests that crash targets among many that do not."""
+
+    WORK_S = 0.06
+    FAULTS_S = (1.0, 4.0)
+    SETTLE_S = 45.0
+
+    def __init__(self, world: world_module.World) -> None:
+        super().__init__(world)
+        self.innocent: list[cluster_module.Exchange] = []
+        self.crashed: dict[str, set[str]] = {}
+        self.poisons = 0
+        self.cluster.on_run.append(self.note_run)
+        self.world.schedule(10.0, self.poison)
+
+    def make_cluster(self) -> cluster_module.Cluster:
+        """Make a cluster with targets to lose."""
+        return cluster_module.Cluster(self.world, chat_per_domain=3)
+
+    def get_faults(self) -> list[scenario.Fault]:
+        """Return faults of links; the requests crash the targets."""
+        return [self.cluster.fault_break, self.cluster.fault_silence]
+
+    def make_body(self, text: str) -> bytes:
+        """Make a chat request."""
+        message = {'role': 'user', 'content': text}
+        body = {'model': cluster_module.CHAT, 'messages': [message]}
+        return json.dumps(body).encode()
+
+    def work(self) -> None:
+        """Send an innocent request."""
+        exchange = self.send_chat(self.make_body(f'ask {len(self.innocent)}'))
+        if exchange is not None:
+            self.innocent.append(exchange)
+
+    def poison(self) -> None:
+        """Send a new request that crashes its target."""
+        if not self.faults_on:
+            return
+        self.world.schedule(POISON_S, self.poison)
+        self.poisons += 1
+        text = f'{cluster_module.CRASH_MARK} {self.poisons}'
+        self.world.fault('poison', text)
+        self.crashed[text] = set()
+        self.send_poison(text, RESENDS)
+
+    def send_poison(self, text: str, sends: int) -> None:
+        """Send it again and again, through any entry instance."""
+        exchange = self.send_chat(self.make_body(text))
+
+        def hear() -> None:
+            self.world.check(
+                not exchange.is_whole, 'a poisonous request was answered'
+            )
+            if sends > 1:
+                delay_s = self.world.rng.uniform(0.1, 2.0)
+                self.world.schedule(
+                    delay_s, lambda: self.send_poison(text, sends - 1)
+                )
+
+        if exchange is not None:
+            scenario.hear_end(exchange, hear)
+
+    def note_run(self, run: cluster_module.Run) -> None:
+        """Count the targets that a poisonous request reached."""
+        body = json.loads(run.body)
+        text = body['messages'][0]['content']
+        if text not in self.crashed:
+            return
+        self.world.facts['poisonous_runs'] += 1
+        self.crashed[text].add(run.target)
+        self.world.check(
+            len(self.crashed[text]) <= MOST_CRASHES,
+            f'{text!r} reached {sorted(self.crashed[text])}',
+        )
+
+    def check_end(self) -> None:
+        """Require that the innocent were answered."""
+        whole = sum(item.is_whole for item in self.innocent)
+        self.world.facts['innocent'] = len(self.innocent)
+        self.world.facts['innocent_whole'] = whole
+        self.world.check(self.poisons, 'no poisonous request was sent')
+        self.world.check(
+            whole >= MIN_WHOLE * len(self.innocent),
+            f'{whole} of {len(self.innocent)} innocent requests answered',
+        )
+
+
+def prove(seed: int, steps: int = DEFAULT_STEPS) -> world_module.Result:
+    """Run the proof.
+
+    :param seed: the seed of everything drawn
+    :param steps: how many events to run
+    :returns: the result
+    """
+    return world_module.run_proof('poison', seed, steps, PoisonProof)
