Prove the whole processes over real sockets under failure

Found: the check that a caller is still there waited for input as long as the socket's timeout and then took the caller for gone, so that any whole answer that took over ten seconds was cut off without an error (a booking whose agent was killed came back empty); ports that the tests had chosen were taken by outgoing connections before the process bound them. Change: the check polls; the tests choose ports below the outgoing range.

--- a/packages/core/src/bambooring_core/http.py
+++ b/packages/core/src/bambooring_core/http.py
@@ -3,6 +3,7 @@
 import collections.abc
 import http
 import json
+import select
 import socket
 import threading
 import time
@@ -215,9 +216,12 @@
     :param sock: the caller's socket
     :returns: True once the end of its input can be read
     """
-    try:
-        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
+    # A socket with a timeout would wait for input; the poll does not.
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    if not poll.poll(0):
         return False
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
     except OSError:
         return True
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -3,7 +3,9 @@
 import collections.abc
 import contextlib
 import dataclasses
+import itertools
 import json
+import os
 import pathlib
 import secrets
 import signal
@@ -23,6 +25,10 @@
 BIN = pathlib.Path(sys.executable).parent
 POLL_S = 0.05
 READY_S = 30.0
+FIRST_PORT = 12_000
+PORTS = 20_000
+
+_PORTS = itertools.count(os.getpid() * 97)
 
 
 class ClusterError(Exception):
@@ -62,7 +68,6 @@
         self._max_running = max_running
         self._leave_grace_s = leave_grace_s
         self._entries_per_domain = entries_per_domain
-        self._reserved: list[socket.socket] = []
         self._replicas: dict[str, str] = {}
         self._operators: dict[str, str] = {}
         self._entries: dict[str, str] = {}
@@ -84,15 +89,19 @@
             if process.handle is not None and process.handle.poll() is None:
                 process.handle.kill()
                 process.handle.wait()
-        for sock in self._reserved:
-            sock.close()
 
     def reserve(self) -> str:
-        """Return an address that nobody listens on."""
-        with contextlib.closing(socket.socket()) as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(('127.0.0.1', 0))
-            return f'127.0.0.1:{sock.getsockname()[1]}'
+        """Return an address that nobody listens on.
+
+        Its port lies below those that outgoing connections are given, so
+        that none of these can take it meanwhile.
+        """
+        while True:
+            port = FIRST_PORT + next(_PORTS) % PORTS
+            with contextlib.closing(socket.socket()) as sock:
+                with contextlib.suppress(OSError):
+                    sock.bind(('127.0.0.1', port))
+                    return f'127.0.0.1:{port}'
 
     def _write(self, name: str, value: dict) -> pathlib.Path:
         path = self.folder / f'{name}.json5'
