Let gossip cost little while nothing changes

Change: links to a subset of each service's targets (rendezvous hashing); gossip over a ring and two more peers a domain, with two relays a domain; renewals of targets and of other domains' instances are passed on every 4 s only, news at once; nothing is told to the peer that told it. Ruled out: larger frames; the bytes were renewals.

--- a/measures/__main__.py
+++ b/measures/__main__.py
@@ -1,11 +1,13 @@
 """Run one measurement by name."""
 
 import importlib
+import logging
 import pathlib
 
 import click
+import structlog
 
-NAMES = ('path',)
+NAMES = ('path', 'control')
 
 
 @click.command()
@@ -17,6 +19,9 @@
     name: str, seed: int, scale: float, plot: pathlib.Path | None
 ) -> None:
     """Measure NAME and print a table and one line of JSON."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
     module = importlib.import_module(f'measures.{name}')
     module.measure(seed=seed, scale=scale, plot=plot).print()
 
--- a/packages/agent/src/bambooring_agent/const.py
+++ b/packages/agent/src/bambooring_agent/const.py
@@ -32,6 +32,6 @@
 PROTOCOL_HTTP: typing.Final = 'http'
 
 FLUSH_INTERVAL_S: typing.Final = 0.002
-LOAD_INTERVAL_S: typing.Final = 0.25
+LOAD_INTERVAL_S: typing.Final = 0.5
 TICK_INTERVAL_S: typing.Final = 0.1
 OPERATOR_THREADS: typing.Final = 4
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -43,6 +43,7 @@
 
 SWITCH_INTERVAL_S = 0.001
 QUIET_BEFORE_STOP_S = 0.3
+SEED_TURNS = 10
 
 
 class Entry:
@@ -100,6 +101,8 @@
         self._agents: dict[str, links.Link] = {}
         self._subscribers: dict[links.Link, int] = {}
         self._sequence = 0
+        self._peers: set[str] = set()
+        self._relay_due = False
         self._counter = _Counter(reactor.now)
         self._leaving_since: float | None = None
 
@@ -138,12 +141,11 @@
         """Begin to dial and what is done at intervals."""
         for address in self._settings[const.CONF_CONTROL]:
             self._hub.keep(address)
-        for address in self._settings[const.CONF_PEERS]:
-            self._hub.keep(address)
+        self._choose_peers()
         self._reactor.call_every(const.TICK_INTERVAL_S, self._tick)
         self._reactor.call_every(const.REPORT_INTERVAL_S, self._report)
         self._reactor.call_every(
-            membership_const.GOSSIP_INTERVAL_S, self._gossip
+            membership_const.PRESENCE_INTERVAL_S, self._gossip
         )
 
     def leave(self) -> None:
@@ -339,6 +341,7 @@
         if announcement.target not in self._agents:
             self._router.remove(announcement.target)
             self._hub.drop(announcement.address)
+            self._choose_links(announcement.service)
 
     def _know_target(self, announcement: membership.Announcement) -> None:
         """Take news of a target into the routing and link to it."""
@@ -361,14 +364,48 @@
         if link is not None and link.peer is not None:
             is_same = link.peer.incarnation == target.incarnation
             target.is_linked = is_same
-        self._hub.keep(announcement.address)
+        self._choose_links(announcement.service)
+
+    def _choose_links(self, service: str) -> None:
+        """Keep links to this instance's subset of a service's targets."""
+        subset = self._router.choose_subset(service, self._identity.instance)
+        for target in self._router.get_targets(service):
+            if target.name in subset:
+                self._hub.keep(target.address)
+            elif not target.own:
+                self._hub.drop(target.address)
 
     def _gossip(self) -> None:
         now = self._reactor.now()
         self._sequence += 1
         self._directory.note_presence(self._make_presence(), now)
-        for address in self._directory.choose_peers():
+        self._choose_peers()
+        self._send_gossip()
+
+    def _choose_peers(self) -> None:
+        """Keep links to the chosen peers, and to seeds while alone."""
+        chosen = set(self._directory.choose_peers())
+        seeds = self._settings[const.CONF_PEERS]
+        if len(chosen) < membership_const.PEER_LINKS:
+            chosen |= set(seeds)
+        elif seeds:
+            chosen.add(seeds[self._sequence // SEED_TURNS % len(seeds)])
+        for address in chosen:
             self._hub.keep(address)
+        for address in self._peers - chosen:
+            self._hub.drop(address)
+        self._peers = chosen
+
+    def _relay_soon(self) -> None:
+        """Pass news on shortly, together with what else comes."""
+        if not self._relay_due:
+            self._relay_due = True
+            self._reactor.call_later(
+                membership_const.RELAY_DELAY_S, self._relay
+            )
+
+    def _relay(self) -> None:
+        self._relay_due = False
         self._send_gossip()
 
     def _make_presence(self) -> membership.Presence:
@@ -489,11 +526,15 @@
             case membership.Announcement():
                 if self._directory.announce(message, now):
                     self._know_target(message)
+                    self._relay_soon()
             case membership.Gossip():
-                for announcement in self._directory.receive(message, now):
+                for announcement in self._directory.receive(
+                    message, link.name, now
+                ):
                     self._know_target(announcement)
                 self._quarantine.receive(message.suspicions, now)
                 self._spread_suspicions()
+                self._relay_soon()
                 self._advance()
             case replication.Proposed():
                 self._carry_out_proposals(
--- a/packages/bambooring/src/bambooring/routing/const.py
+++ b/packages/bambooring/src/bambooring/routing/const.py
@@ -2,6 +2,7 @@
 
 import typing
 
+SUBSET_SIZE: typing.Final = 16
 CHOICES: typing.Final = 2
 REPORT_HALF_LIFE_S: typing.Final = 1.0
 FAILURE_PENALTY: typing.Final = 3.0
--- a/packages/bambooring/src/bambooring/routing/state.py
+++ b/packages/bambooring/src/bambooring/routing/state.py
@@ -74,6 +74,26 @@
         if target is not None:
             self._by_service[target.service].remove(target)
 
+    def get_targets(self, service: str) -> list[Target]:
+        """Return the targets of a service."""
+        return list(self._by_service.get(service, ()))
+
+    def choose_subset(self, service: str, instance: str) -> set[str]:
+        """Choose the targets that an entry instance keeps links to.
+
+        Rendezvous hashing (Thaler and Ravishankar, 1998) spreads them
+        evenly and moves few as targets come and go.
+
+        :param service: the service
+        :param instance: the entry instance's name
+        :returns: the targets' names
+        """
+        targets = sorted(
+            self.get_targets(service),
+            key=lambda target: _hash_pair(instance, target.name),
+        )
+        return {target.name for target in targets[: const.SUBSET_SIZE]}
+
     def report(self, name: str, load: dispatch.Load, now: float) -> None:
         """Take a target's load report.
 
@@ -160,5 +180,11 @@
         return favourite if self.weigh(favourite, now) <= limit else best
 
 
+def _hash_pair(instance: str, target: str) -> bytes:
+    return hashlib.blake2b(
+        f'{instance}|{target}'.encode(), digest_size=8
+    ).digest()
+
+
 def _score(prefix: int, name: str) -> bytes:
     return hashlib.blake2b(f'{prefix}|{name}'.encode(), digest_size=8).digest()
