Plan expert maps, and prove the switch to a new one

Change: a switch stages the map on all ranks, has each promise to hold at a step, and lets the replicated log decide; the planner changes one replica or swap at a time while that pays, and takes a fresh map, aligned with the present one, where single changes end. Left: the processes do not run the switch yet; engines that can't hold at a step are not covered.

--- a/measures/__main__.py
+++ b/measures/__main__.py
@@ -7,7 +7,7 @@
 import click
 import structlog
 
-NAMES = ('path', 'control')
+NAMES = ('path', 'control', 'skew')
 
 
 @click.command()
--- a/packages/bambooring/src/bambooring/machine.py
+++ b/packages/bambooring/src/bambooring/machine.py
@@ -8,6 +8,8 @@
 from bambooring.bookings import state as bookings_state
 from bambooring.configuration import messages as configuration
 from bambooring.configuration import state as configuration_state
+from bambooring.experts import messages as experts
+from bambooring.experts import state as experts_state
 from bambooring_core import codec
 
 _SIZE = struct.Struct('<I')
@@ -19,6 +21,7 @@
     def __init__(self) -> None:
         self.store = configuration_state.Store()
         self.claims = bookings_state.Claims()
+        self.switches = experts_state.Switches()
         self._time = 0.0
 
     def apply(self, command: bytes) -> bytes:
@@ -36,7 +39,7 @@
         """Return the whole state as sized packed messages."""
         stamp = codec.pack(bookings.Clock(now=self._time))
         parts = [_SIZE.pack(len(stamp)), stamp]
-        for part in (self.store, self.claims):
+        for part in (self.store, self.claims, self.switches):
             for message in part.save():
                 data = codec.pack(message)
                 parts += (_SIZE.pack(len(data)), data)
@@ -49,6 +52,7 @@
         """
         self.store = configuration_state.Store()
         self.claims = bookings_state.Claims()
+        self.switches = experts_state.Switches()
         offset = 0
         while offset < len(data):
             (size,) = _SIZE.unpack_from(data, offset)
@@ -59,8 +63,10 @@
     def _restore_one(self, message: typing.Any) -> None:
         if isinstance(message, bookings.Clock):
             self._time = message.now
-        elif not self.store.restore(message):
-            self.claims.restore(message)
+            return
+        for part in (self.store, self.claims, self.switches):
+            if part.restore(message):
+                return
 
 
 @functools.singledispatch
@@ -96,3 +102,10 @@
     command: bookings.Release, machine: ControlMachine, now: float
 ) -> bookings.Done:
     return machine.claims.release(command, now)
+
+
+@_apply.register
+def _apply_decide(
+    command: experts.Decide, machine: ControlMachine, now: float
+) -> experts.Decided:
+    return machine.switches.decide(command)
--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -17,6 +17,7 @@
     'answers',
     'refusals',
     'leaving',
+    'expert_map',
     'poison',
 )
 
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -10,6 +10,7 @@
 from bambooring.configuration import state as configuration_state
 from bambooring.dispatch import messages as dispatch_messages
 from bambooring.dispatch import state as dispatch_state
+from bambooring.experts import switch
 from bambooring.quarantine import state as quarantine_state
 from bambooring.replication import storage
 from bambooring.routing import state as routing_state
@@ -96,6 +97,11 @@
     return False
 
 
+def _has_most_promises(self, switch):
+    """Commit before every rank has promised to hold."""
+    return len(switch.armed) * 2 > self._ranks
+
+
 GUARDS = [
     ('replication', 4, storage.Storage, 'save_state', _forget_vote),
     (
@@ -133,6 +139,13 @@
         '_take_chunk',
         _take_any_chunk,
     ),
+    (
+        'expert_map',
+        1,
+        switch.Coordinator,
+        '_has_all_promises',
+        _has_most_promises,
+    ),
     ('refusals', 1, gate_state.Gate, '_bury', _forget_attempt),
     ('poison', 1, quarantine_state.Quarantine, 'note', _note_nothing),
 ]
