Estimate an attempt's wait by its account's place; measure the crest

Cause: an agent estimated one wait for all, so that two large accounts that filled a queue had small accounts refused though fair queueing would have served them first. Change: the estimate counts what goes before the account's own place. Ruled out: shares agreed among entries; the queue is where they contend.

--- a/packages/agent/src/bambooring_agent/gate/queue.py
+++ b/packages/agent/src/bambooring_agent/gate/queue.py
@@ -57,6 +57,23 @@
         heapq.heappush(self._heap, (-priority, tag, ticket))
         return ticket
 
+    def count_before(self, account: str, priority: int) -> int:
+        """Count the items that would go before a new one.
+
+        :param account: whose the new one would be
+        :param priority: its priority
+        """
+        tag = max(self._virtual, self._finish.get(account, 0.0))
+        return sum(
+            ticket in self._items and (rank, at) <= (-priority, tag)
+            for rank, at, ticket in self._heap
+        )
+
+    def find_last(self) -> Item | None:
+        """Return the item that would go last, or None when empty."""
+        held = [entry for entry in self._heap if entry[2] in self._items]
+        return self._items[max(held)[2]] if held else None
+
     def remove(self, ticket: int) -> None:
         """Remove an item by its ticket."""
         self._items.pop(ticket, None)
--- a/packages/agent/src/bambooring_agent/gate/state.py
+++ b/packages/agent/src/bambooring_agent/gate/state.py
@@ -108,11 +108,19 @@
         :param lane: the attempt's lane
         :returns: seconds
         """
-        slots = self._get_slots(lane)
-        ahead = len(self._queues[lane]) + 1
-        if self._has_slot(lane) and ahead == 1:
+        return self._estimate(lane, len(self._queues[lane]))
+
+    def _estimate(self, lane: dispatch.Lane, before: int) -> float:
+        if self._has_slot(lane) and not before:
             return 0.0
-        return ahead * self._service_s[lane] / slots
+        slots = self._get_slots(lane)
+        return (before + 1) * self._service_s[lane] / slots
+
+    def _estimate_start(self, start: dispatch.Start) -> float:
+        """Estimate an attempt's wait by its account's place."""
+        queue = self._queues[start.lane]
+        before = queue.count_before(start.account, start.priority)
+        return self._estimate(start.lane, before)
 
     def _get_slots(self, lane: dispatch.Lane) -> int:
         if lane is dispatch.Lane.SUSPECT:
@@ -185,11 +193,11 @@
             return const.REASON_LEAVING
         if not self.is_ready:
             return const.REASON_NOT_READY
-        if self.queued >= self.limits.queue_limit:
-            if not self._has_slot(start.lane):
-                return const.REASON_QUEUE_FULL
-        if self.estimate_wait(start.lane) > start.start_within_s:
+        wait_s = self._estimate_start(start)
+        if wait_s > start.start_within_s:
             return const.REASON_WAIT_TOO_LONG
+        if self.queued >= self.limits.queue_limit and wait_s > 0:
+            return const.REASON_QUEUE_FULL
         return None
 
     def _refuses_new_work(self, now: float) -> bool:
--- a/proofs/cluster.py
+++ b/proofs/cluster.py
@@ -226,7 +226,15 @@
         chat_per_domain: int = 1,
         plain_per_domain: int = 1,
         slots: int = 16,
+        queue_limit: int = 64,
+        make_engine: collections.abc.Callable[..., SimEngine] = SimEngine,
+        make_exchange: collections.abc.Callable[..., Exchange] = Exchange,
+        declarations: list[configuration.Edit] | None = None,
     ) -> None:
+        self._queue_limit = queue_limit
+        self._make_engine = make_engine
+        self._make_exchange = make_exchange
+        self._declarations = declarations or make_declarations()
         self.world = world
         self.network = network_module.Network(world)
         self.domains = list(domains)
@@ -274,7 +282,7 @@
         for name in self.nodes:
             self.start(name)
         self.world.run_for(4.0)
-        self.apply('initial', make_declarations())
+        self.apply('initial', self._declarations)
         self.world.run_for(4.0)
 
     def start(self, name: str) -> None:
@@ -372,7 +380,7 @@
                 'health_path': '/health',
                 'slots': self._slots,
                 'long_slots': 4,
-                'queue_limit': 64,
+                'queue_limit': self._queue_limit,
             },
         }
         target = self.targets[node.name]
@@ -382,7 +390,9 @@
             key=b'',
             incarnation=self._draw_incarnation(),
             make_hub=self._make_hub,
-            make_engine=lambda **more: SimEngine(target=target, **more),
+            make_engine=lambda **more: self._make_engine(
+                target=target, **more
+            ),
         )
 
     def end(self, name: str) -> None:
@@ -472,7 +482,7 @@
         """
         number = next(self._calls)
         request_id = f'request-{number}'
-        exchange = Exchange(request_id, body)
+        exchange = self._make_exchange(request_id, body)
         node = self.nodes[entry]
         if not node.is_alive:
             exchange.fail('connection_refused', wire.Outcome.NOT_RUN)
