Annotate the tests' containers for the type check

Cause: the type check covers tests inside the packages now. Change: six annotations. Ruled out: leaving tests out of the check.

--- a/packages/agent/src/bambooring_agent/gate/tests/test_queue.py
+++ b/packages/agent/src/bambooring_agent/gate/tests/test_queue.py
@@ -16,7 +16,7 @@
 
 def test_flood_does_not_delay_another_account():
     """One request of a small account goes before a flood's rest."""
-    queue = queue_module.FairQueue()
+    queue: queue_module.FairQueue[str] = queue_module.FairQueue()
     for _ in range(50):
         _push(queue, 'large')
     queue.pop()
@@ -27,7 +27,7 @@
 
 def test_weights_share_the_slots():
     """An account of weight 3 gets three times another's turns."""
-    queue = queue_module.FairQueue()
+    queue: queue_module.FairQueue[str] = queue_module.FairQueue()
     for _ in range(60):
         _push(queue, 'three', weight=3.0)
         _push(queue, 'one')
@@ -38,7 +38,7 @@
 
 def test_priority_goes_first():
     """A larger priority goes before any tag."""
-    queue = queue_module.FairQueue()
+    queue: queue_module.FairQueue[str] = queue_module.FairQueue()
     _push(queue, 'early')
     _push(queue, 'urgent', priority=5)
     assert queue.pop() == 'urgent'
@@ -53,7 +53,7 @@
 )
 def test_nothing_is_lost_or_repeated(steps):
     """What is pushed and not removed comes out once."""
-    queue = queue_module.FairQueue()
+    queue: queue_module.FairQueue[str] = queue_module.FairQueue()
     kept = 0
     for account, is_removed in steps:
         ticket = _push(queue, account)
--- a/packages/bambooring/src/bambooring/routing/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/routing/tests/test_state.py
@@ -38,7 +38,7 @@
 def test_failing_target_is_avoided():
     """A target that fails quickly does not draw the load."""
     router = _make_router()
-    chosen = collections.Counter()
+    chosen: collections.Counter[str] = collections.Counter()
     for _ in range(200):
         target = router.choose(messages.Wish(service='s'), 0.0)
         chosen[target.name] += 1
@@ -58,7 +58,7 @@
 def test_subset_is_even_and_stable():
     """Every target is in about as many entries' subsets."""
     router = _make_router(64)
-    counts = collections.Counter()
+    counts: collections.Counter[str] = collections.Counter()
     for number in range(100):
         counts.update(router.choose_subset('s', f'entry-{number}'))
     assert min(counts.values()) > 10
