Split dispatch and gossip into smaller modules

Cause: read as a newcomer, dispatch's state had 774 lines and the entry instance 625, with message building and gossip among the decisions. Ruled out: splitting the decisions themselves, which read best in one place.

--- /dev/null
+++ b/packages/bambooring/src/bambooring/dispatch/building.py
@@ -0,0 +1,127 @@
+"""Build the messages that a call in progress asks for."""
+
+from bambooring.bookings import const as bookings_const
+from bambooring.bookings import messages as bookings
+from bambooring.dispatch import messages
+from bambooring.dispatch import running as running_module
+from bambooring_core.dispatch import messages as wire
+
+
+def make_start(
+    running: running_module.Running,
+    attempt: running_module.Attempt,
+    now: float,
+) -> wire.Start:
+    """Make the message that starts an attempt.
+
+    :param running: the call
+    :param attempt: its new attempt
+    :param now: the current time in seconds
+    """
+    call = running.call
+    return wire.Start(
+        attempt=attempt.id,
+        incarnation=attempt.incarnation,
+        request_id=call.request_id,
+        service=call.service.name,
+        account=call.account.name,
+        weight=call.account.weight,
+        priority=call.account.priority,
+        kind=call.kind,
+        lane=call.lane,
+        cost=call.cost,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+        start_within_s=max(0.0, running.start_by - now),
+        end_within_s=max(0.0, running.end_by - now),
+        is_chat=call.service.is_chat,
+        prefix=call.prefix,
+    )
+
+
+def make_resume(attempt: running_module.Attempt) -> messages.ToTarget:
+    """Ask an agent for an attempt's output from what has arrived on."""
+    return messages.ToTarget(
+        target=attempt.target,
+        message=wire.Resume(
+            attempt=attempt.id,
+            incarnation=attempt.incarnation,
+            offset=attempt.received,
+        ),
+    )
+
+
+def make_claim(running: running_module.Running) -> messages.Propose:
+    """Make the proposal that claims a booking."""
+    call = running.call
+    command = bookings.Claim(
+        account=call.account.name,
+        service=call.service.name,
+        key=call.key,
+        digest=call.digest,
+        claim=running.claim,
+    )
+    return messages.Propose(
+        call=call.id,
+        command=command,
+        timeout_s=bookings_const.CLAIM_TIMEOUT_S,
+    )
+
+
+def make_release(running: running_module.Running) -> messages.Propose:
+    """Make the proposal that gives a claim up."""
+    call = running.call
+    command = bookings.Release(
+        account=call.account.name,
+        service=call.service.name,
+        key=call.key,
+        claim=running.claim,
+    )
+    return messages.Propose(
+        call=0,
+        command=command,
+        timeout_s=bookings_const.RELEASE_TIMEOUT_S,
+    )
+
+
+def make_settle(
+    running: running_module.Running, call_id: int, timeout_s: float
+) -> messages.Propose:
+    """Make the proposal that records a booking's answer.
+
+    :param running: the call
+    :param call_id: whom the answer goes to, 0 for nobody
+    :param timeout_s: how long to try
+    """
+    attempt = running.attempt
+    assert attempt is not None
+    assert attempt.head is not None
+    body = b''.join(attempt.parts)
+    is_kept = len(body) <= bookings_const.BODY_LIMIT_BYTES
+    settle = bookings.Settle(
+        account=running.call.account.name,
+        service=running.call.service.name,
+        key=running.call.key,
+        claim=running.claim,
+        status=attempt.head.status,
+        headers=attempt.head.headers,
+        body=body if is_kept else b'',
+        is_body_kept=is_kept,
+    )
+    return messages.Propose(call=call_id, command=settle, timeout_s=timeout_s)
+
+
+def is_stream(opened: wire.Opened) -> bool:
+    """Tell whether a head begins a stream of server-sent events."""
+    return opened.status == 200 and any(
+        header.name.lower() == 'content-type'
+        and header.value.startswith('text/event-stream')
+        for header in opened.headers
+    )
+
+
+def is_same_head(first: wire.Opened, second: wire.Opened) -> bool:
+    """Tell whether a second head can stand for the first."""
+    return first.status == second.status and first.headers == second.headers
--- a/packages/bambooring/src/bambooring/dispatch/state.py
+++ b/packages/bambooring/src/bambooring/dispatch/state.py
@@ -6,14 +6,15 @@
 """
 
 import collections.abc
-import dataclasses
 import random
 import typing
 
 from bambooring.bookings import const as bookings_const
 from bambooring.bookings import messages as bookings
+from bambooring.dispatch import building
 from bambooring.dispatch import const
 from bambooring.dispatch import messages
+from bambooring.dispatch import running as running_module
 from bambooring import metrics
 from bambooring.quarantine import const as quarantine_const
 from bambooring.quarantine import state as quarantine_state
@@ -25,53 +26,6 @@
 Effects = collections.abc.Iterator[messages.Effect]
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Attempt:
-    """Hold one try of a call on one target."""
-
-    id: int
-    target: str
-    incarnation: int
-    received: int = 0
-    acknowledged: int = 0
-    lost_at: float | None = None
-    head: wire.Opened | None = None
-    parts: list[bytes] = dataclasses.field(default_factory=list)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Running:
-    """Hold a call's progress."""
-
-    call: messages.Call
-    arrived: float
-    claim: int = 0
-    attempt: Attempt | None = None
-    head: wire.Opened | None = None
-    tried: set[str] = dataclasses.field(default_factory=set)
-    attempts: int = 0
-    error_retries: int = 0
-    is_released: bool = False
-    is_settling: bool = False
-    has_caller: bool = True
-    has_run: bool = False
-
-    @property
-    def is_claimed(self) -> bool:
-        """Tell whether the call is a booking with a claim."""
-        return bool(self.call.key)
-
-    @property
-    def start_by(self) -> float:
-        """Return when the call must have started, in seconds."""
-        return self.arrived + self.call.service.start_within_s
-
-    @property
-    def end_by(self) -> float:
-        """Return when the call must have ended, in seconds."""
-        return self.arrived + self.call.service.end_within_s
-
-
 class Dispatcher:
     """Hold every call in progress on one entry instance."""
 
@@ -87,9 +41,9 @@
         self._quarantine = quarantine
         self._rng = rng
         self._budget = budget_module.RetryBudget(now)
-        self._calls: dict[int, _Running] = {}
-        self._by_attempt: dict[int, _Running] = {}
-        self._orphans: dict[int, Attempt] = {}
+        self._calls: dict[int, running_module.Running] = {}
+        self._by_attempt: dict[int, running_module.Running] = {}
+        self._orphans: dict[int, running_module.Attempt] = {}
 
     def __len__(self) -> int:
         return len(self._calls)
@@ -101,24 +55,13 @@
         :param now: the current time in seconds
         :returns: the effects
         """
-        running = _Running(call=call, arrived=now)
+        running = running_module.Running(call=call, arrived=now)
         self._calls[call.id] = running
         if not running.is_claimed:
             yield from self._try(running, now)
             return
         running.claim = self._draw_id()
-        claim = bookings.Claim(
-            account=call.account.name,
-            service=call.service.name,
-            key=call.key,
-            digest=call.digest,
-            claim=running.claim,
-        )
-        yield messages.Propose(
-            call=call.id,
-            command=claim,
-            timeout_s=bookings_const.CLAIM_TIMEOUT_S,
-        )
+        yield building.make_claim(running)
 
     def _draw_id(self) -> int:
         return self._rng.getrandbits(63) | 1
@@ -138,7 +81,7 @@
             return
         if running.is_settling:
             if answer is None:
-                yield self._make_settle(
+                yield building.make_settle(
                     running, 0, bookings_const.RELEASE_TIMEOUT_S
                 )
             yield from self._finish_settled(running, now)
@@ -156,7 +99,10 @@
             yield from self._take_claim(running, answer, now)
 
     def _take_claim(
-        self, running: _Running, answer: bookings.ClaimAnswer, now: float
+        self,
+        running: running_module.Running,
+        answer: bookings.ClaimAnswer,
+        now: float,
     ) -> Effects:
         match answer.outcome:
             case bookings.ClaimOutcome.GRANTED:
@@ -200,7 +146,10 @@
                 )
 
     def _repeat(
-        self, running: _Running, answer: bookings.ClaimAnswer, now: float
+        self,
+        running: running_module.Running,
+        answer: bookings.ClaimAnswer,
+        now: float,
     ) -> Effects:
         """Give the recorded answer again."""
         head = messages.Head(status=answer.status, headers=answer.headers)
@@ -209,22 +158,12 @@
             yield from self._tell(running, messages.Data(data=answer.body))
         yield from self._finish(running)
 
-    def _release_claim(self, running: _Running) -> Effects:
+    def _release_claim(self, running: running_module.Running) -> Effects:
         if not running.claim:
             return
-        release = bookings.Release(
-            account=running.call.account.name,
-            service=running.call.service.name,
-            key=running.call.key,
-            claim=running.claim,
-        )
-        yield messages.Propose(
-            call=0,
-            command=release,
-            timeout_s=bookings_const.RELEASE_TIMEOUT_S,
-        )
+        yield building.make_release(running)
 
-    def _try(self, running: _Running, now: float) -> Effects:
+    def _try(self, running: running_module.Running, now: float) -> Effects:
         """Send the call to a target, or fail it."""
         call = running.call
         crashed = self._quarantine.get_targets(call.digest, now)
@@ -243,7 +182,7 @@
                 running, const.REASON_NO_TARGET, now, 1.0
             )
             return
-        attempt = Attempt(
+        attempt = running_module.Attempt(
             id=self._draw_id(),
             target=target.name,
             incarnation=target.incarnation,
@@ -252,12 +191,12 @@
         running.attempts += 1
         self._by_attempt[attempt.id] = running
         self._router.begin(target.name)
-        start = self._make_start(running, attempt, now)
+        start = building.make_start(running, attempt, now)
         if crashed:
             start.lane = wire.Lane.SUSPECT
         yield messages.ToTarget(target=target.name, message=start)
 
-    def _bar(self, running: _Running, now: float) -> Effects:
+    def _bar(self, running: running_module.Running, now: float) -> Effects:
         """Fail a call that was there when targets crashed."""
         outcome = wire.Outcome.NOT_RUN
         if running.has_run:
@@ -267,31 +206,6 @@
             running, 422, quarantine_const.REASON_QUARANTINED, outcome, now
         )
 
-    def _make_start(
-        self, running: _Running, attempt: Attempt, now: float
-    ) -> wire.Start:
-        call = running.call
-        return wire.Start(
-            attempt=attempt.id,
-            incarnation=attempt.incarnation,
-            request_id=call.request_id,
-            service=call.service.name,
-            account=call.account.name,
-            weight=call.account.weight,
-            priority=call.account.priority,
-            kind=call.kind,
-            lane=call.lane,
-            cost=call.cost,
-            method=call.method,
-            path=call.path,
-            headers=call.headers,
-            body=call.body,
-            start_within_s=max(0.0, running.start_by - now),
-            end_within_s=max(0.0, running.end_by - now),
-            is_chat=call.service.is_chat,
-            prefix=call.prefix,
-        )
-
     def refuse(
         self, refused: wire.Refused, sender: str, now: float
     ) -> Effects:
@@ -312,7 +226,7 @@
 
     def _retry_not_run(
         self,
-        running: _Running,
+        running: running_module.Running,
         reason: str,
         retry_after_s: float,
         now: float,
@@ -327,7 +241,9 @@
             metrics.RETRIES_DENIED.inc()
         yield from self._fail_not_run(running, reason, now, retry_after_s)
 
-    def _find(self, attempt_id: int, sender: str) -> _Running | None:
+    def _find(
+        self, attempt_id: int, sender: str
+    ) -> running_module.Running | None:
         running = self._by_attempt.get(attempt_id)
         if running is None or running.attempt is None:
             return None
@@ -336,7 +252,7 @@
         return running
 
     def _close_attempt(
-        self, running: _Running, *, is_failure: bool, now: float
+        self, running: running_module.Running, *, is_failure: bool, now: float
     ) -> None:
         attempt = running.attempt
         if attempt is None:
@@ -368,7 +284,7 @@
                 yield from self._take_end(running, ended, now)
 
     def _open(
-        self, running: _Running, opened: wire.Opened, now: float
+        self, running: running_module.Running, opened: wire.Opened, now: float
     ) -> Effects:
         """Take a head; that of a stream goes to the caller at once.
 
@@ -381,7 +297,7 @@
         if running.is_released or running.is_claimed:
             return
         if running.head is not None:
-            if not _is_same_head(running.head, opened):
+            if not building.is_same_head(running.head, opened):
                 yield from self._abandon(running)
                 yield from self._fail(
                     running,
@@ -390,19 +306,23 @@
                     wire.Outcome.UNKNOWN,
                     now,
                 )
-        elif _is_stream(opened):
+        elif building.is_stream(opened):
             yield from self._tell_head(running, opened)
 
-    def _tell_head(self, running: _Running, opened: wire.Opened) -> Effects:
+    def _tell_head(
+        self, running: running_module.Running, opened: wire.Opened
+    ) -> Effects:
         running.head = opened
         head = messages.Head(status=opened.status, headers=opened.headers)
         yield from self._tell(running, head)
 
-    def _take_chunk(self, running: _Running, chunk: wire.Chunk) -> Effects:
+    def _take_chunk(
+        self, running: running_module.Running, chunk: wire.Chunk
+    ) -> Effects:
         attempt = running.attempt
         assert attempt is not None
         if attempt.head is None or chunk.offset > attempt.received:
-            yield self._make_resume(attempt)
+            yield building.make_resume(attempt)
             return
         data = chunk.data[attempt.received - chunk.offset :]
         if not data:
@@ -415,7 +335,7 @@
             yield from self._tell(running, messages.Data(data=data))
         yield from self._acknowledge(attempt)
 
-    def _is_collected(self, running: _Running) -> bool:
+    def _is_collected(self, running: running_module.Running) -> bool:
         """Tell whether the body is kept back until its end.
 
         That of a claimed booking is recorded first; that of an error may
@@ -429,7 +349,7 @@
         assert running.attempt is not None
         return running.attempt.received <= const.ERROR_BODY_BYTES
 
-    def _release(self, running: _Running) -> Effects:
+    def _release(self, running: running_module.Running) -> Effects:
         """Begin the answer to the caller, with what was kept back."""
         if running.is_released:
             return
@@ -443,7 +363,7 @@
             yield from self._tell(running, messages.Data(data=part))
         attempt.parts = []
 
-    def _acknowledge(self, attempt: Attempt) -> Effects:
+    def _acknowledge(self, attempt: running_module.Attempt) -> Effects:
         unacknowledged = attempt.received - attempt.acknowledged
         if unacknowledged < const.ACKNOWLEDGE_BYTES:
             return
@@ -455,24 +375,14 @@
             ),
         )
 
-    def _make_resume(self, attempt: Attempt) -> messages.ToTarget:
-        return messages.ToTarget(
-            target=attempt.target,
-            message=wire.Resume(
-                attempt=attempt.id,
-                incarnation=attempt.incarnation,
-                offset=attempt.received,
-            ),
-        )
-
     def _take_end(
-        self, running: _Running, ended: wire.Ended, now: float
+        self, running: running_module.Running, ended: wire.Ended, now: float
     ) -> Effects:
         attempt = running.attempt
         assert attempt is not None
         is_complete = ended.outcome is wire.Outcome.COMPLETE
         if is_complete and not self._has_all(attempt, ended):
-            yield self._make_resume(attempt)
+            yield building.make_resume(attempt)
             return
         yield messages.ToTarget(
             target=attempt.target,
@@ -487,10 +397,14 @@
                 running, ended.outcome, ended.reason, now
             )
 
-    def _has_all(self, attempt: Attempt, ended: wire.Ended) -> bool:
+    def _has_all(
+        self, attempt: running_module.Attempt, ended: wire.Ended
+    ) -> bool:
         return attempt.head is not None and attempt.received == ended.size
 
-    def _complete(self, running: _Running, now: float) -> Effects:
+    def _complete(
+        self, running: running_module.Running, now: float
+    ) -> Effects:
         attempt = running.attempt
         assert attempt is not None
         assert attempt.head is not None
@@ -511,7 +425,9 @@
             self._budget.earn()
         yield from self._finish(running)
 
-    def _may_replace_error(self, running: _Running, now: float) -> bool:
+    def _may_replace_error(
+        self, running: running_module.Running, now: float
+    ) -> bool:
         if running.call.kind is not wire.Kind.IDEMPOTENT:
             return False
         if running.is_released or running.error_retries:
@@ -526,36 +442,16 @@
             return False
         return now < running.start_by and self._budget.take(now)
 
-    def _settle(self, running: _Running) -> Effects:
+    def _settle(self, running: running_module.Running) -> Effects:
         """Record a booking's answer before its caller hears it."""
         running.is_settling = True
-        yield self._make_settle(
+        yield building.make_settle(
             running, running.call.id, bookings_const.SETTLE_TIMEOUT_S
         )
 
-    def _make_settle(
-        self, running: _Running, call_id: int, timeout_s: float
-    ) -> messages.Propose:
-        attempt = running.attempt
-        assert attempt is not None
-        assert attempt.head is not None
-        body = b''.join(attempt.parts)
-        is_kept = len(body) <= bookings_const.BODY_LIMIT_BYTES
-        settle = bookings.Settle(
-            account=running.call.account.name,
-            service=running.call.service.name,
-            key=running.call.key,
-            claim=running.claim,
-            status=attempt.head.status,
-            headers=attempt.head.headers,
-            body=body if is_kept else b'',
-            is_body_kept=is_kept,
-        )
-        return messages.Propose(
-            call=call_id, command=settle, timeout_s=timeout_s
-        )
-
-    def _finish_settled(self, running: _Running, now: float) -> Effects:
+    def _finish_settled(
+        self, running: running_module.Running, now: float
+    ) -> Effects:
         yield from self._release(running)
         self._close_attempt(running, is_failure=False, now=now)
         self._budget.earn()
@@ -563,7 +459,7 @@
 
     def _take_failure(
         self,
-        running: _Running,
+        running: running_module.Running,
         outcome: wire.Outcome,
         reason: str,
         now: float,
@@ -587,7 +483,7 @@
 
     def _fail_not_run(
         self,
-        running: _Running,
+        running: running_module.Running,
         reason: str,
         now: float,
         retry_after_s: float,
@@ -603,7 +499,7 @@
 
     def _fail(
         self,
-        running: _Running,
+        running: running_module.Running,
         status: int,
         reason: str,
         outcome: wire.Outcome,
@@ -620,11 +516,13 @@
         )
         yield from self._tell(running, failure)
 
-    def _finish(self, running: _Running) -> Effects:
+    def _finish(self, running: running_module.Running) -> Effects:
         del self._calls[running.call.id]
         yield from self._tell(running, messages.Finished())
 
-    def _tell(self, running: _Running, event: messages.Event) -> Effects:
+    def _tell(
+        self, running: running_module.Running, event: messages.Event
+    ) -> Effects:
         if running.has_caller:
             yield messages.ToCaller(call=running.call.id, event=event)
 
@@ -662,7 +560,7 @@
             elif attempt.lost_at is not None:
                 attempt.lost_at = None
                 metrics.RESUMES.inc()
-                yield self._make_resume(attempt)
+                yield building.make_resume(attempt)
 
     def _cancel_orphans(self, target: str, incarnation: int) -> Effects:
         for attempt in list(self._orphans.values()):
@@ -691,7 +589,7 @@
         self._close_attempt(running, is_failure=False, now=now)
         del self._calls[call_id]
 
-    def _abandon(self, running: _Running) -> Effects:
+    def _abandon(self, running: running_module.Running) -> Effects:
         attempt = running.attempt
         if attempt is None:
             return
@@ -716,7 +614,9 @@
             else:
                 yield from self._check_idempotent(running, now)
 
-    def _check_idempotent(self, running: _Running, now: float) -> Effects:
+    def _check_idempotent(
+        self, running: running_module.Running, now: float
+    ) -> Effects:
         attempt = running.attempt
         assert attempt is not None
         if now >= running.end_by:
@@ -728,13 +628,15 @@
                 wire.Outcome.UNKNOWN,
                 now,
             )
-        elif _is_lost(attempt, now):
+        elif attempt.is_lost(now):
             yield from self._abandon(running)
             yield from self._take_failure(
                 running, wire.Outcome.UNKNOWN, const.REASON_LINK_LOST, now
             )
 
-    def _check_booking(self, running: _Running, now: float) -> Effects:
+    def _check_booking(
+        self, running: running_module.Running, now: float
+    ) -> Effects:
         """Let the caller go early; wait on for the booking's outcome."""
         attempt = running.attempt
         assert attempt is not None
@@ -746,7 +648,7 @@
                 wire.Outcome.UNKNOWN,
                 now,
             )
-        elif _is_lost(attempt, now) and running.has_caller:
+        elif attempt.is_lost(now) and running.has_caller:
             failure = messages.Failure(
                 status=502,
                 reason=const.REASON_LINK_LOST,
@@ -754,21 +656,3 @@
             )
             yield from self._tell(running, failure)
             running.has_caller = False
-
-
-def _is_lost(attempt: Attempt, now: float) -> bool:
-    if attempt.lost_at is None:
-        return False
-    return now >= attempt.lost_at + const.RESUME_WAIT_S
-
-
-def _is_stream(opened: wire.Opened) -> bool:
-    return opened.status == 200 and any(
-        header.name.lower() == 'content-type'
-        and header.value.startswith('text/event-stream')
-        for header in opened.headers
-    )
-
-
-def _is_same_head(first: wire.Opened, second: wire.Opened) -> bool:
-    return first.status == second.status and first.headers == second.headers
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -21,9 +21,9 @@
 from bambooring import const
 from bambooring.dispatch import messages as dispatch
 from bambooring.dispatch import state as dispatch_state
-from bambooring.membership import const as membership_const
 from bambooring.membership import messages as membership
 from bambooring.membership import state as membership_state
+from bambooring.membership import task as membership_task
 from bambooring import metrics
 from bambooring.operators import messages as operators
 from bambooring.quarantine import state as quarantine_state
@@ -43,7 +43,6 @@
 
 SWITCH_INTERVAL_S = 0.001
 QUIET_BEFORE_STOP_S = 0.3
-SEED_TURNS = 10
 
 
 class Entry:
@@ -100,9 +99,13 @@
         self._sinks: dict[int, callers.Events | streams.Stream] = {}
         self._agents: dict[str, links.Link] = {}
         self._subscribers: dict[links.Link, int] = {}
-        self._sequence = 0
-        self._peers: set[str] = set()
-        self._relay_due = False
+        self._gossiper = membership_task.Gossiper(
+            reactor=reactor,
+            hub=self._hub,
+            directory=self._directory,
+            seeds=settings[const.CONF_PEERS],
+            make_presence=self._make_presence,
+        )
         self._counter = _Counter(reactor.now)
         self._leaving_since: float | None = None
 
@@ -141,12 +144,9 @@
         """Begin to dial and what is done at intervals."""
         for address in self._settings[const.CONF_CONTROL]:
             self._hub.keep(address)
-        self._choose_peers()
+        self._gossiper.set_up()
         self._reactor.call_every(const.TICK_INTERVAL_S, self._tick)
         self._reactor.call_every(const.REPORT_INTERVAL_S, self._report)
-        self._reactor.call_every(
-            membership_const.PRESENCE_INTERVAL_S, self._gossip
-        )
 
     def leave(self) -> None:
         """Begin to leave; callable from any thread."""
@@ -375,59 +375,18 @@
             elif not target.own:
                 self._hub.drop(target.address)
 
-    def _gossip(self) -> None:
-        now = self._reactor.now()
-        self._sequence += 1
-        self._directory.note_presence(self._make_presence(), now)
-        self._choose_peers()
-        self._send_gossip()
-
-    def _choose_peers(self) -> None:
-        """Keep links to the chosen peers, and to seeds while alone."""
-        chosen = set(self._directory.choose_peers())
-        seeds = self._settings[const.CONF_PEERS]
-        if len(chosen) < membership_const.PEER_LINKS:
-            chosen |= set(seeds)
-        elif seeds:
-            chosen.add(seeds[self._sequence // SEED_TURNS % len(seeds)])
-        for address in chosen:
-            self._hub.keep(address)
-        for address in self._peers - chosen:
-            self._hub.drop(address)
-        self._peers = chosen
-
-    def _relay_soon(self) -> None:
-        """Pass news on shortly, together with what else comes."""
-        if not self._relay_due:
-            self._relay_due = True
-            self._reactor.call_later(
-                membership_const.RELAY_DELAY_S, self._relay
-            )
-
-    def _relay(self) -> None:
-        self._relay_due = False
-        self._send_gossip()
-
-    def _make_presence(self) -> membership.Presence:
+    def _make_presence(self, sequence: int) -> membership.Presence:
         return membership.Presence(
             instance=self._identity.instance,
             failure_domain=self._identity.failure_domain,
             address=self._identity.address,
             incarnation=self._identity.incarnation,
-            sequence=self._sequence,
+            sequence=sequence,
             held=self._holder.held,
             in_force=self._holder.in_force,
             is_leaving=self.is_leaving(),
         )
 
-    def _send_gossip(self) -> None:
-        now = self._reactor.now()
-        for link in self._hub.get_links(core_const.ROLE_ENTRY):
-            if link.dialled is not None:
-                gossip = self._directory.make_gossip(link.name, now)
-                if gossip is not None:
-                    link.send(gossip)
-
     def _advance(self) -> None:
         """Put the held configuration in force once neighbours hold it."""
         neighbours = self._directory.get_neighbours()
@@ -436,7 +395,7 @@
             revision = self._holder.in_force
             metrics.REVISION_IN_FORCE.set(revision)
             LOG.info('configuration in force', revision=revision)
-            self._gossip()
+            self._gossiper.gossip()
             self._report()
 
     def _report(self) -> None:
@@ -526,7 +485,7 @@
             case membership.Announcement():
                 if self._directory.announce(message, now):
                     self._know_target(message)
-                    self._relay_soon()
+                    self._gossiper.relay_soon()
             case membership.Gossip():
                 for announcement in self._directory.receive(
                     message, link.name, now
@@ -534,7 +493,7 @@
                     self._know_target(announcement)
                 self._quarantine.receive(message.suspicions, now)
                 self._spread_suspicions()
-                self._relay_soon()
+                self._gossiper.relay_soon()
                 self._advance()
             case replication.Proposed():
                 self._carry_out_proposals(
@@ -575,7 +534,7 @@
             if known < self._holder.held:
                 self._subscribers[subscriber] = self._holder.held
                 subscriber.send(self._holder.get_since(known))
-        self._gossip()
+        self._gossiper.gossip()
         self._advance()
 
     def _describe_targets(self, query: int) -> operators.StatusReply:
--- a/packages/bambooring/src/bambooring/membership/const.py
+++ b/packages/bambooring/src/bambooring/membership/const.py
@@ -9,4 +9,5 @@
 PRESENCE_INTERVAL_S: typing.Final = 0.8
 RELAY_DELAY_S: typing.Final = 0.1
 PEER_LINKS: typing.Final = 2
+SEED_TURNS: typing.Final = 10
 RELAYS: typing.Final = 2
--- /dev/null
+++ b/packages/bambooring/src/bambooring/membership/task.py
@@ -0,0 +1,84 @@
+"""Gossip with chosen peers over an entry instance's links."""
+
+import collections.abc
+
+from bambooring.membership import const
+from bambooring.membership import messages
+from bambooring.membership import state
+from bambooring_core import const as core_const
+from bambooring_core import links
+from bambooring_core import reactor as reactor_module
+
+MakePresence = collections.abc.Callable[[int], messages.Presence]
+
+
+class Gossiper:
+    """Keep links to peers and tell them what they have not heard."""
+
+    def __init__(
+        self,
+        *,
+        reactor: reactor_module.Reactor,
+        hub: links.Hub,
+        directory: state.Directory,
+        seeds: list[str],
+        make_presence: MakePresence,
+    ) -> None:
+        self._reactor = reactor
+        self._hub = hub
+        self._directory = directory
+        self._seeds = seeds
+        self._make_presence = make_presence
+        self._sequence = 0
+        self._peers: set[str] = set()
+        self._is_relay_due = False
+
+    def set_up(self) -> None:
+        """Begin to dial and to gossip at intervals."""
+        self._choose_peers()
+        self._reactor.call_every(const.PRESENCE_INTERVAL_S, self.gossip)
+
+    def gossip(self) -> None:
+        """Announce this instance anew and tell the peers all news."""
+        self._sequence += 1
+        presence = self._make_presence(self._sequence)
+        self._directory.note_presence(presence, self._reactor.now())
+        self._choose_peers()
+        self._send()
+
+    def relay_soon(self) -> None:
+        """Pass news on shortly, together with what else comes."""
+        if not self._is_relay_due:
+            self._is_relay_due = True
+            self._reactor.call_later(const.RELAY_DELAY_S, self._relay)
+
+    def _relay(self) -> None:
+        self._is_relay_due = False
+        self._send()
+
+    def _choose_peers(self) -> None:
+        """Keep links to the chosen peers, and to seeds while alone.
+
+        One seed in turn stays linked, so that groups that have lost each
+        other meet again.
+        """
+        chosen = set(self._directory.choose_peers())
+        if len(chosen) < const.PEER_LINKS:
+            chosen |= set(self._seeds)
+        elif self._seeds:
+            turn = self._sequence // const.SEED_TURNS
+            chosen.add(self._seeds[turn % len(self._seeds)])
+        for address in chosen:
+            self._hub.keep(address)
+        for address in self._peers - chosen:
+            self._hub.drop(address)
+        self._peers = chosen
+
+    def _send(self) -> None:
+        now = self._reactor.now()
+        for link in self._hub.get_links(core_const.ROLE_ENTRY):
+            if link.dialled is None:
+                continue
+            gossip = self._directory.make_gossip(link.name, now)
+            if gossip is not None:
+                link.send(gossip)
