Measure retries; log attempts; use results in admission

Change: the measurement; attempts are logged by id with their request; admission answers with a result; the replica's data has a module of its own.

--- a/measures/__main__.py
+++ b/measures/__main__.py
@@ -7,7 +7,7 @@
 import click
 import structlog
 
-NAMES = ('path', 'control', 'skew', 'crest', 'blocking')
+NAMES = ('path', 'control', 'skew', 'crest', 'blocking', 'retries')
 
 
 @click.command()
--- a/measures/service.py
+++ b/measures/service.py
@@ -76,8 +76,11 @@
         if not self._jobs:
             self._stepping = False
             return
-        delay_s = STEP_S + STEP_PER_RUNNING_S * len(self._jobs)
-        self._later(delay_s, self._step)
+        self._later(self.get_step_s(), self._step)
+
+    def get_step_s(self) -> float:
+        """Return how long the next step takes."""
+        return STEP_S + STEP_PER_RUNNING_S * len(self._jobs)
 
     def _advance(self, job: _Job) -> None:
         attempt = job.start.attempt
@@ -129,6 +132,7 @@
         targets_per_domain: int = 2,
         start_within_s: float = 0.85,
         queue_limit: int = 64,
+        make_engine: collections.abc.Callable[..., BatchEngine] = BatchEngine,
     ) -> None:
         self.world = world_module.World(seed)
         self.accounts = accounts
@@ -139,7 +143,7 @@
             chat_per_domain=targets_per_domain,
             plain_per_domain=0,
             slots=SLOTS,
-            make_engine=BatchEngine,
+            make_engine=make_engine,
             make_exchange=Caller,
             queue_limit=queue_limit,
             declarations=self._declare(start_within_s),
@@ -151,6 +155,7 @@
         self.refused = 0
         self.attempts = 0
         self.lost = 0
+        self.errors = 0
 
     @property
     def capacity(self) -> float:
@@ -223,6 +228,8 @@
 
     def _hear(self, demand: Demand, exchange: Caller, at: float) -> None:
         if exchange.is_whole:
+            assert exchange.head is not None
+            self.errors += exchange.head.status >= 500
             demand.answered_at = self.world.now
             self.first.add(exchange.first_at - at)
             self.done[demand.account] += 1
--- a/packages/agent/src/bambooring_agent/process.py
+++ b/packages/agent/src/bambooring_agent/process.py
@@ -196,6 +196,11 @@
         match message:
             case dispatch.Start():
                 metrics.STARTS.inc()
+                LOG.debug(
+                    'attempt arrived',
+                    request=message.request_id,
+                    attempt=message.attempt,
+                )
                 self._carry_out(self._gate.start(message, owner, now))
             case dispatch.Acknowledge():
                 self._gate.acknowledge(message, now)
@@ -243,6 +248,13 @@
     ) -> None:
         """Take the end of a call."""
         metrics.ENDS.labels(outcome=outcome, reason=reason).inc()
+        if outcome is not dispatch.Outcome.COMPLETE:
+            LOG.info(
+                'attempt failed',
+                attempt=attempt,
+                outcome=outcome.value,
+                reason=reason,
+            )
         now = self._reactor.now()
         self._carry_out(self._gate.end(attempt, outcome, reason, now))
         self._flush_soon()
--- a/packages/bambooring/src/bambooring/admission/const.py
+++ b/packages/bambooring/src/bambooring/admission/const.py
@@ -2,6 +2,8 @@
 
 import typing
 
+DEFAULT_RETRY_AFTER_S: typing.Final = 1.0
+
 REASON_ACCOUNT_IN_FLIGHT: typing.Final = 'account_in_flight'
 REASON_ACCOUNT_RATE: typing.Final = 'account_rate'
 REASON_INSTANCE_FULL: typing.Final = 'instance_full'
--- a/packages/bambooring/src/bambooring/admission/state.py
+++ b/packages/bambooring/src/bambooring/admission/state.py
@@ -7,6 +7,8 @@
 import dataclasses
 import math
 
+from returns import result
+
 from bambooring.admission import const
 from bambooring.admission import messages
 from bambooring.configuration import records
@@ -32,36 +34,30 @@
 
     def admit(
         self, account: records.ClientAccount, now: float
-    ) -> messages.Refusal | None:
+    ) -> result.Result[None, messages.Refusal]:
         """Admit a request and count it.
 
         :param account: whose request it is
         :param now: the current time in seconds
-        :returns: None, or why it is refused
+        :returns: success, or why it is refused
         """
         if self.running >= self._max_running:
-            return messages.Refusal(
-                reason=const.REASON_INSTANCE_FULL, retry_after_s=1.0
-            )
+            return _refuse(const.REASON_INSTANCE_FULL)
         usage = self._usage.get(account.name)
         if usage is None:
             usage = _Usage(tokens=self._get_burst(account), at=now)
             self._usage[account.name] = usage
         if usage.running >= self._share(account.limits.in_flight):
-            return messages.Refusal(
-                reason=const.REASON_ACCOUNT_IN_FLIGHT, retry_after_s=1.0
-            )
+            return _refuse(const.REASON_ACCOUNT_IN_FLIGHT)
         rate = account.limits.requests_per_s / self.instances
         self._refill(usage, account, rate, now)
         if usage.tokens < 1:
-            return messages.Refusal(
-                reason=const.REASON_ACCOUNT_RATE,
-                retry_after_s=(1 - usage.tokens) / rate,
-            )
+            wait_s = (1 - usage.tokens) / rate
+            return _refuse(const.REASON_ACCOUNT_RATE, wait_s)
         usage.tokens -= 1
         usage.running += 1
         self.running += 1
-        return None
+        return result.Success(None)
 
     def _refill(
         self,
@@ -89,3 +85,10 @@
         usage = self._usage.get(account)
         if usage is not None:
             usage.running -= 1
+
+
+def _refuse(
+    reason: str, retry_after_s: float = const.DEFAULT_RETRY_AFTER_S
+) -> result.Result[None, messages.Refusal]:
+    refusal = messages.Refusal(reason=reason, retry_after_s=retry_after_s)
+    return result.Failure(refusal)
--- a/packages/bambooring/src/bambooring/dispatch/state.py
+++ b/packages/bambooring/src/bambooring/dispatch/state.py
@@ -9,6 +9,8 @@
 import random
 import typing
 
+import structlog
+
 from bambooring.bookings import const as bookings_const
 from bambooring.bookings import messages as bookings
 from bambooring.dispatch import building
@@ -23,6 +25,8 @@
 from bambooring.routing import state as routing
 from bambooring_core.dispatch import messages as wire
 
+LOG = structlog.get_logger(__name__)
+
 Effects = collections.abc.Iterator[messages.Effect]
 
 
@@ -191,6 +195,12 @@
         running.attempts += 1
         self._by_attempt[attempt.id] = running
         self._router.begin(target.name)
+        LOG.debug(
+            'attempt sent',
+            request=call.request_id,
+            attempt=attempt.id,
+            target=target.name,
+        )
         start = building.make_start(running, attempt, now)
         if crashed:
             start.lane = wire.Lane.SUSPECT
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -8,6 +8,7 @@
 import threading
 import typing
 
+from returns import pipeline
 import structlog
 
 from bambooring.admission import state as admission_state
@@ -220,8 +221,9 @@
 
     def _submit(self, call: dispatch.Call, events: callers.Events) -> None:
         now = self._reactor.now()
-        refusal = self._admission.admit(call.account, now)
-        if refusal is not None:
+        admitted = self._admission.admit(call.account, now)
+        if not pipeline.is_successful(admitted):
+            refusal = admitted.failure()
             events.put(
                 dispatch.Failure(
                     status=429,
--- a/packages/bambooring/src/bambooring/replication/state.py
+++ b/packages/bambooring/src/bambooring/replication/state.py
@@ -9,59 +9,13 @@
 messages and applies the committed entries, in this order.
 """
 
-import dataclasses
-import enum
 import random
 import typing
 
 from bambooring.replication import const
 from bambooring.replication import log as log_module
 from bambooring.replication import messages
-
-
-class Role(enum.Enum):
-    """Say what part a replica plays."""
-
-    FOLLOWER = 'follower'
-    PRE_CANDIDATE = 'pre_candidate'
-    CANDIDATE = 'candidate'
-    LEADER = 'leader'
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Envelope:
-    """Hold a message and the replica it is for."""
-
-    to: int
-    message: typing.Any
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Ready:
-    """Hold what a replica wants done.
-
-    ``hard_state``, ``batch`` and ``snapshot`` are saved first, then the
-    messages are sent, then the committed entries applied.
-    """
-
-    hard_state: messages.HardState | None
-    batch: messages.Batch | None
-    snapshot: messages.SnapshotFile | None
-    envelopes: list[Envelope]
-    committed: list[messages.Entry]
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Progress:
-    """Hold what a leader knows of one follower."""
-
-    name: str
-    next_index: int
-    last_ack: float
-    match: int = 0
-    snapshot_offset: int | None = None
-    snapshot_index: int = 0
-    snapshot_sent: float = 0.0
+from bambooring.replication import progress as progress_module
 
 
 class Replica:
@@ -82,7 +36,7 @@
         self.id = id
         self.name = name
         self.names = names
-        self.role = Role.FOLLOWER
+        self.role = progress_module.Role.FOLLOWER
         self.term = hard_state.term
         self.voted_for = hard_state.voted_for
         self.leader = 0
@@ -97,9 +51,9 @@
         self._deadline = 0.0
         self._next_heartbeat = 0.0
         self._votes: set[int] = set()
-        self._progress: dict[int, Progress] = {}
+        self._progress: dict[int, progress_module.Progress] = {}
         self._learners: dict[int, str] = {}
-        self._envelopes: list[Envelope] = []
+        self._envelopes: list[progress_module.Envelope] = []
         self._truncate_from = 0
         self._new_from = self.log.last_index + 1
         self._state_changed = False
@@ -115,7 +69,7 @@
     @property
     def is_leader(self) -> bool:
         """Tell whether this replica leads."""
-        return self.role is Role.LEADER
+        return self.role is progress_module.Role.LEADER
 
     @property
     def is_fresh(self) -> bool:
@@ -198,7 +152,7 @@
     def _add_progress(self, id: int, name: str) -> None:
         if id == self.id or id in self._progress:
             return
-        self._progress[id] = Progress(
+        self._progress[id] = progress_module.Progress(
             name=name,
             next_index=self.log.last_index + 1,
             last_ack=self._now,
@@ -217,7 +171,9 @@
         self._state_changed = True
 
     def _send(self, to: int, message: typing.Any) -> None:
-        self._envelopes.append(Envelope(to=to, message=message))
+        self._envelopes.append(
+            progress_module.Envelope(to=to, message=message)
+        )
 
     def tick(self, now: float) -> None:
         """Do what is due by time alone.
@@ -251,9 +207,9 @@
     def _campaign(self, *, is_pre: bool, is_forced: bool) -> None:
         self.leader = 0
         term = self.term + 1
-        self.role = Role.PRE_CANDIDATE
+        self.role = progress_module.Role.PRE_CANDIDATE
         if not is_pre:
-            self.role = Role.CANDIDATE
+            self.role = progress_module.Role.CANDIDATE
             self._set_term(term, self.id)
         self._votes = {self.id}
         if self._is_majority(self._votes):
@@ -275,7 +231,7 @@
         if is_pre:
             self._campaign(is_pre=False, is_forced=is_forced)
             return
-        self.role = Role.LEADER
+        self.role = progress_module.Role.LEADER
         self.leader = self.id
         self._progress = {}
         for id, name in (self._learners | self.members).items():
@@ -286,9 +242,9 @@
     def _follow(self, term: int, leader: int) -> None:
         if term > self.term:
             self._set_term(term, 0)
-        if self.role is not Role.FOLLOWER:
+        if self.role is not progress_module.Role.FOLLOWER:
             self._reset_deadline()
-        self.role = Role.FOLLOWER
+        self.role = progress_module.Role.FOLLOWER
         self.leader = leader
         self._progress = {}
 
@@ -368,9 +324,9 @@
                 self._follow(reply.term, 0)
             return
         if reply.is_pre:
-            wanted = (Role.PRE_CANDIDATE, self.term + 1)
+            wanted = (progress_module.Role.PRE_CANDIDATE, self.term + 1)
         else:
-            wanted = (Role.CANDIDATE, self.term)
+            wanted = (progress_module.Role.CANDIDATE, self.term)
         if (self.role, reply.term) != wanted:
             return
         self._votes.add(reply.voter)
@@ -380,7 +336,7 @@
     def _accept_leader(self, term: int, leader: int) -> bool:
         if term < self.term:
             return False
-        if term > self.term or self.role is not Role.FOLLOWER:
+        if term > self.term or self.role is not progress_module.Role.FOLLOWER:
             self._follow(term, leader)
         self.leader = leader
         self._heard = self._now
@@ -458,7 +414,9 @@
         if progress.next_index <= self.log.last_index:
             self._replicate(reply.follower)
 
-    def _find_progress(self, term: int, follower: int) -> Progress | None:
+    def _find_progress(
+        self, term: int, follower: int
+    ) -> progress_module.Progress | None:
         if term > self.term:
             self._follow(term, 0)
             return None
@@ -493,7 +451,7 @@
         self._send(id, request)
 
     def _send_snapshot(
-        self, id: int, progress: Progress, is_heartbeat: bool
+        self, id: int, progress: progress_module.Progress, is_heartbeat: bool
     ) -> None:
         """Begin to send a snapshot, or send a chunk again that got lost.
 
@@ -526,7 +484,10 @@
         self._send(id, request)
 
     def _send_chunk(
-        self, id: int, progress: Progress, snapshot: messages.SnapshotFile
+        self,
+        id: int,
+        progress: progress_module.Progress,
+        snapshot: messages.SnapshotFile,
     ) -> None:
         offset = progress.snapshot_offset or 0
         end = offset + const.SNAPSHOT_CHUNK_BYTES
@@ -680,7 +641,7 @@
         self._send(best, messages.TimeoutNow(term=self.term, leader=self.id))
         return True
 
-    def take_ready(self) -> Ready | None:
+    def take_ready(self) -> progress_module.Ready | None:
         """Return what is to be done now, or None.
 
         :returns: what to save, send and apply
@@ -689,7 +650,7 @@
             for id, progress in self._progress.items():
                 if progress.next_index <= self.log.last_index:
                     self._replicate(id)
-        ready = Ready(
+        ready = progress_module.Ready(
             hard_state=self._take_hard_state(),
             batch=self._take_batch(),
             snapshot=self._installed,
--- a/packages/bambooring/src/bambooring/replication/task.py
+++ b/packages/bambooring/src/bambooring/replication/task.py
@@ -12,6 +12,7 @@
 from bambooring.replication import errors
 from bambooring.replication import formation as formation_module
 from bambooring.replication import messages
+from bambooring.replication import progress
 from bambooring.replication import state as state_module
 from bambooring.replication import storage as storage_module
 from bambooring_core import codec
@@ -219,7 +220,7 @@
                 self._apply(entry)
             self._compact()
 
-    def _save(self, ready: state_module.Ready) -> None:
+    def _save(self, ready: progress.Ready) -> None:
         assert self.replica is not None
         if ready.hard_state is not None:
             self._storage.save_state(ready.hard_state)
--- a/proofs/cluster.py
+++ b/proofs/cluster.py
@@ -244,6 +244,7 @@
         self.runs: list[Run] = []
         self.runs_by_request: collections.Counter[str] = collections.Counter()
         self.on_run: list[collections.abc.Callable[[Run], None]] = []
+        self.faulty: dict[str, str] = {}
         self.parsers: dict[str, typing.Any] = {}
         self.exchanges: dict[str, dict[int, Exchange]] = {}
         self._calls = itertools.count(1)
