Show the voters' ids, and wait for them when a disk is lost

Cause: in a clean clone under load the test that loses two folders one after the other lost the second before the first was repaired; it waited for the replica's name among the voters, which the lost identity has as well. With two of three disks gone there is no majority, and two tests after it failed. The test's relay ignores a peer that has closed. Ruled out: a slow machine alone; the same three tests pass beside it once the wait is right.

--- a/packages/bambooring/src/bambooring/control.py
+++ b/packages/bambooring/src/bambooring/control.py
@@ -343,13 +343,14 @@
     def _end_describe(self, query: int) -> dict[str, typing.Any]:
         replies = self._queries.pop(query)
         replica = self._replicator.replica
-        members = replica.members.values() if replica else ()
+        members = replica.get_committed_members() if replica else {}
         reports = self._reports.get_live(self._reactor.now())
         return {
             'replica': self._identity.instance,
             'leader': self._replicator.leader_name,
             'term': self._replicator.term,
-            'members': sorted(members),
+            'members': sorted(members.values()),
+            'member_ids': {name: str(id) for id, name in members.items()},
             'revision': self._machine.store.revision,
             'claims': len(self._machine.claims),
             'instances': [
--- a/packages/bambooring/src/bambooring/replication/state.py
+++ b/packages/bambooring/src/bambooring/replication/state.py
@@ -86,6 +86,13 @@
         """Return the leader's name, or an empty text."""
         return self.members.get(self.leader, '')
 
+    def get_committed_members(self) -> dict[int, str]:
+        """Return the voters of the last list that is committed."""
+        if self.commit >= self._members_index:
+            return dict(self.members)
+        listed = self._get_members_at(self.commit)
+        return {member.id: member.name for member in listed}
+
     def form(self, members: list[messages.Member]) -> None:
         """Begin a new log whose first entry lists the voters.
 
--- a/packages/bambooring/src/bambooring/replication/storage.py
+++ b/packages/bambooring/src/bambooring/replication/storage.py
@@ -210,6 +210,18 @@
         self._disk.truncate(const.FILE_LOG, offset)
 
 
+def read_identity(data: bytes) -> int:
+    """Return the replica's id that an identity file holds.
+
+    :param data: the file's bytes
+    :raises DamagedError: if they can't be trusted
+    """
+    payload, _ = _unwrap(data, 0)
+    if payload is None:
+        raise errors.DamagedError(f'{const.FILE_IDENTITY}: damaged')
+    return _decode(const.FILE_IDENTITY, payload).id
+
+
 def _replay(log: log_module.Log, batch: messages.Batch) -> None:
     if batch.truncate_from:
         log.truncate(batch.truncate_from)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -17,6 +17,7 @@
 import psutil
 import pytest
 
+from bambooring.replication import storage
 from standins import caller
 from standins import cluster as cluster_module
 
@@ -311,18 +312,12 @@
     """Two data folders lost one after the other lose nothing accepted."""
     before = cluster.get_client().list_records()
     for name in ('control-1', 'control-2'):
+        old = _read_id(cluster, name)
         cluster.kill(name)
-        identity = cluster.folder / name / 'identity'
-        old = identity.read_bytes()
         shutil.rmtree(cluster.folder / name)
         cluster.start(name)
-        cluster_module.wait_for(identity.exists, 'a new identity')
-        assert identity.read_bytes() != old
         cluster_module.wait_for(
-            lambda name=name: (
-                name in cluster.get_client().describe()['members']
-                and _is_replaced(cluster, name)
-            ),
+            lambda name=name, old=old: _is_replaced(cluster, name, old),
             f'{name} to be a voter again',
         )
     after = cluster.get_client().list_records()
@@ -330,13 +325,18 @@
     _wait_whole(cluster)
 
 
-def _is_replaced(cluster, name):
-    """Tell whether a repaired replica holds the log by itself."""
-    operators = cluster.processes[name].operators
-    ready = cluster_module.fetch_status(f'http://{operators}/health/ready')
-    log = (cluster.folder / name).joinpath('log')
-    members = cluster.get_client().describe()['members']
-    return ready == 200 and log.exists() and len(members) == 3
+def _read_id(cluster, name):
+    """Return the identity in a replica's folder, None if there is none."""
+    disk = storage.FolderDisk(cluster.folder / name)
+    data = disk.read('identity')
+    return str(storage.read_identity(data)) if data else None
+
+
+def _is_replaced(cluster, name, old):
+    """Tell whether a replica votes under its new identity, and all do."""
+    new = _read_id(cluster, name)
+    ids = cluster.get_client().describe()['member_ids']
+    return new not in (None, old) and ids.get(name) == new and len(ids) == 3
 
 
 @pytest.mark.parametrize('role', ['agent', 'control', 'entry'])
@@ -429,7 +429,8 @@
             self._selector.unregister(sock)
             return
         if near not in self._silent:
-            other.sendall(data)
+            with contextlib.suppress(OSError):
+                other.sendall(data)
 
 
 def test_silent_connection_is_replaced(cluster, tmp_path):
