--- a/packages/bambooring/src/bambooring/configuration/const.py
+++ b/packages/bambooring/src/bambooring/configuration/const.py
@@ -50,5 +50,4 @@
 CHANGES_KEPT: typing.Final = 10_000
 CONTENT_LIMIT_BYTES: typing.Final = 64 * 1024
 EDITS_LIMIT: typing.Final = 2000
-PEER_LEASE_S: typing.Final = 2.0
 SETTLE_S: typing.Final = 1.0
--- a/packages/bambooring/src/bambooring/dispatch/const.py
+++ b/packages/bambooring/src/bambooring/dispatch/const.py
@@ -6,7 +6,6 @@
 BOOKING_GRACE_S: typing.Final = 5.0
 ACKNOWLEDGE_BYTES: typing.Final = 64 * 1024
 ERROR_BODY_BYTES: typing.Final = 64 * 1024
-ERROR_RETRIES: typing.Final = 1
 ATTEMPTS_LIMIT: typing.Final = 4
 
 REASON_AGENT_RESTARTED: typing.Final = 'agent_restarted'
@@ -19,6 +18,5 @@
 REASON_DEADLINE: typing.Final = 'deadline'
 REASON_LINK_LOST: typing.Final = 'link_lost'
 REASON_NO_TARGET: typing.Final = 'no_target'
-REASON_RETRY_BUDGET: typing.Final = 'retry_budget'
 REASON_TARGET_ERROR: typing.Final = 'target_error'
 REASON_START_DEADLINE: typing.Final = 'not_started_in_time'
--- a/packages/bambooring/src/bambooring/dispatch/state.py
+++ b/packages/bambooring/src/bambooring/dispatch/state.py
@@ -178,7 +178,6 @@
             service=call.service.name,
             excluded=running.tried | crashed,
             prefix=call.prefix,
-            cost=call.cost,
         )
         target = self._router.choose(wish, now)
         if target is None:
--- a/packages/bambooring/src/bambooring/replication/const.py
+++ b/packages/bambooring/src/bambooring/replication/const.py
@@ -11,7 +11,6 @@
 APPEND_LIMIT_BYTES: typing.Final = 1024 * 1024
 SNAPSHOT_CHUNK_BYTES: typing.Final = 256 * 1024
 SNAPSHOT_AFTER_ENTRIES: typing.Final = 2000
-KEPT_ENTRIES: typing.Final = 200
 CATCH_UP_ENTRIES: typing.Final = 16
 
 FILE_IDENTITY: typing.Final = 'identity'
--- a/packages/bambooring/src/bambooring/routing/messages.py
+++ b/packages/bambooring/src/bambooring/routing/messages.py
@@ -10,4 +10,3 @@
     service: str
     excluded: set[str] = dataclasses.field(default_factory=set)
     prefix: int = 0
-    cost: float = 1.0
--- a/packages/core/src/bambooring_core/reactor.py
+++ b/packages/core/src/bambooring_core/reactor.py
@@ -9,7 +9,6 @@
 import queue
 import selectors
 import socket
-import time
 import types
 import typing
 
@@ -54,7 +53,6 @@
         self._wake_in.setblocking(False)
         self._wake_out.setblocking(False)
         self.watch(self._wake_in, selectors.EVENT_READ, self._drain_wake)
-        self.busy_s = 0.0
 
     def __enter__(self) -> typing.Self:
         return self
@@ -166,13 +164,11 @@
     def turn(self) -> None:
         """Wait for what is next and handle it."""
         ready = self._selector.select(self._get_wait())
-        start = time.perf_counter()
         for key, events in ready:
             key.data(events)
         self._run_timers()
         while self._soon:
             self._soon.popleft()()
-        self.busy_s += time.perf_counter() - start
 
     def _get_wait(self) -> float:
         if self._soon:
--- a/proofs/leaving.py
+++ b/proofs/leaving.py
@@ -13,7 +13,6 @@
 
 DEFAULT_STEPS = 60_000
 NO_WORK_AFTER_S = 3.0
-LEAVE_S = 4.0
 BACK_S = 3.0
 
 
--- a/proofs/replication.py
+++ b/proofs/replication.py
@@ -22,7 +22,6 @@
 PROPOSE_S = 0.03
 GREET_S = 0.3
 SNAPSHOT_AFTER = 60
-REPAIR_S = 60.0
 NAMES = ('control-1', 'control-2', 'control-3')
 
 
