--- a/packages/agent/src/bambooring_agent/ranks/state.py
+++ b/packages/agent/src/bambooring_agent/ranks/state.py
@@ -4,12 +4,13 @@
 
 
 class DemandMeter:
-    """Hold the last totals of one rank."""
+    """Hold the last totals of one rank, and what was added before them."""
 
-    __slots__ = ('_last',)
+    __slots__ = ('_last', 'newest')
 
     def __init__(self) -> None:
         self._last: messages.Counts | None = None
+        self.newest: messages.RankDemand | None = None
 
     def measure(
         self, counts: messages.Counts, state: messages.RankState
@@ -21,7 +22,7 @@
         :returns: the demand, or None if nothing can be compared or was added
         """
         last, self._last = self._last, counts
-        if last is None or last.epoch != counts.epoch or not state.layout:
+        if last is None or not state.layout:
             return None
         if len(last.counts) != len(counts.counts):
             return None
@@ -30,12 +31,14 @@
             for now, before in zip(counts.counts, last.counts, strict=True)
         ]
         if min(added, default=0) < 0 or not any(added):
+            # The rank has started anew, or has run nothing.
             return None
-        return messages.RankDemand(
+        self.newest = messages.RankDemand(
             target=state.target,
             group=state.group,
             epoch=state.epoch,
             rank=state.rank,
             sets=len(state.layout),
-            counts=added,
+            packed=messages.pack_counts(added),
         )
+        return self.newest
--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -93,6 +93,8 @@
             case messages.Attendance():
                 self._attendances[link] = message
                 self._keep_controls()
+                if message.is_leader:
+                    self._tell_new_leader(link)
             case messages.RankOrder():
                 self._obey(link, message)
             case _:
@@ -111,6 +113,14 @@
         for address in self._hub.get_dialled() - wanted - linked:
             self._hub.drop(address)
 
+    def _tell_new_leader(self, link: links.Link) -> None:
+        """Tell what is known; a group that is broken adds no demand."""
+        if self._state is None:
+            return
+        link.send(self._state)
+        if self._meter.newest is not None:
+            link.send(self._meter.newest)
+
     def _send_leader(self, message: typing.Any) -> None:
         for link, attendance in self._attendances.items():
             if attendance.is_leader:
--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -38,6 +38,13 @@
 REFUSALS_IN_A_ROW: typing.Final = 3
 SERVICE_PAUSE_S: typing.Final = 0.3
 
+# A group that its ranks call broken is offered a request this often all
+# the same: the news that it has opened may not reach this instance.
+PROBE_INTERVAL_S: typing.Final = 1.0
+
+# What is known of a group's slow ranks holds for this long.
+PACES_S: typing.Final = 3.0
+
 # The requests that a target runs at once are limited while its streams
 # pause for more than this share of what callers accept, and less so once
 # they pause for less than the lower share.
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -12,18 +12,12 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import groups as groups_module
 from bambooring.balancing import limit as limit_module
+from bambooring.balancing import peers as peers_module
 from bambooring.targets import messages as targets
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Load:
-    """Hold what one instance has running at one target."""
-
-    running: int = 0
-    tokens: int = 0
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Health:
     """Hold what this instance has seen of one target."""
@@ -34,17 +28,6 @@
     busy_until_s: float = 0.0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Peer:
-    """Hold another instance's last report."""
-
-    incarnation: int
-    sequence: int
-    heard_s: float
-    loads: dict[str, targets.TargetLoad]
-    services: dict[str, targets.ServiceLoad]
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Choice:
     """Name the chosen target and what was known of it."""
@@ -73,12 +56,13 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self._by_service: dict[str, dict[str, targets.Target]] = {}
-        self._own: dict[str, _Load] = {}
+        self._own: dict[str, peers_module.Work] = {}
         self._health: dict[str, _Health] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._peers = peers_module.PeerLoads()
         self._limits: dict[str, limit_module.ConcurrencyLimit] = {}
         self._refusals: dict[str, int] = {}
         self._paused_until_s: dict[str, float] = {}
+        self._groups = groups_module.Groups()
         self._durations_s: dict[str, float] = {}
         self._sequence = 0
 
@@ -90,6 +74,7 @@
         for target in usable:
             by_service.setdefault(target.service, {})[target.id] = target
         self._by_service = by_service
+        self._groups.update(by_service)
         known = {id for held in by_service.values() for id in held}
         for id in self._health.keys() - known:
             del self._health[id]
@@ -106,8 +91,11 @@
         :param now_s: the current time in seconds
         :param excluded: ids of targets that already had the request
         """
-        self._forget_peers(now_s)
-        if self.is_paused(service, now_s):
+        self._peers.forget_stale(now_s)
+        self._groups.forget_paces(now_s)
+        if self._is_resting(service, now_s):
+            return None
+        if not self._groups.may_offer(service, now_s):
             return None
         candidates = self._list_candidates(service, now_s, excluded)
         scored = [
@@ -118,11 +106,12 @@
         if not scored:
             return None
         _, best = min(scored, key=lambda pair: pair[0])
+        self._groups.note_offer(service, now_s)
         return Choice(
             target=best,
             running=self.count_running(best.id),
             candidates=len(candidates),
-            oldest_report_s=self._get_report_age(now_s),
+            oldest_report_s=self._peers.get_age_s(now_s),
         )
 
     def _list_candidates(
@@ -146,10 +135,10 @@
         return sound or known
 
     def _score(self, target: targets.Target) -> tuple[float, int, bool, float]:
-        running = self.count_running(target.id)
+        running = self.count_running(target.id) + 1
         slots = target.slots or const.DEFAULT_SLOTS
         return (
-            running / slots,
+            running * self._groups.get_pace(target) / slots,
             self._count_tokens(target.id),
             target.failure_domain != self._failure_domain,
             self._rng.random(),
@@ -160,7 +149,12 @@
         found = self._limits.get(target.service)
         if found is not None:
             most = min(most, found.limit)
-        return self.count_running(target.id) + 1 <= most
+        running = self.count_running(target.id) + 1
+        return running * self._groups.get_pace(target) <= most
+
+    def take_paces(self, paces: targets.GroupPaces, now_s: float) -> None:
+        """Take how long the ranks of a group take."""
+        self._groups.take_paces(paces, now_s)
 
     def note_gap(self, service: str, gap_s: float, accepted_s: float) -> None:
         """Take note of a pause between two events of a stream."""
@@ -178,9 +172,8 @@
         for service, found in self._limits.items():
             found.close_interval()
             gaps_s = [
-                peer.services[service].gap_ms / 1000
-                for peer in self._peers.values()
-                if service in peer.services
+                peer.gap_ms / 1000
+                for peer in self._peers.list_services(service)
             ]
             gaps_s.append(found.gap_s)
             known = self._by_service.get(service, {}).values()
@@ -203,25 +196,13 @@
     def count_running(self, id: str) -> int:
         """Return how many requests all instances have at a target."""
         own = self._own.get(id)
-        count = own.running if own else 0
-        for peer in self._peers.values():
-            load = peer.loads.get(id)
-            if load is not None:
-                count += load.running
-        return count
+        count = self._peers.get(id).running
+        return count + own.running if own else count
 
     def _count_tokens(self, id: str) -> int:
         own = self._own.get(id)
-        count = own.tokens if own else 0
-        for peer in self._peers.values():
-            load = peer.loads.get(id)
-            if load is not None:
-                count += load.tokens
-        return count
-
-    def _get_report_age(self, now_s: float) -> float:
-        ages = [now_s - peer.heard_s for peer in self._peers.values()]
-        return max(ages, default=0.0)
+        count = self._peers.get(id).tokens
+        return count + own.tokens if own else count
 
     def view(self, service: str, now_s: float) -> ServiceView:
         """Sum up a service."""
@@ -237,15 +218,13 @@
             slots=sum(one.slots or const.DEFAULT_SLOTS for one in usable),
             running=sum(self.count_running(one.id) for one in usable),
             waiting_elsewhere=sum(
-                peer.services[service].waiting
-                for peer in self._peers.values()
-                if service in peer.services
+                peer.waiting for peer in self._peers.list_services(service)
             ),
         )
 
     def begin(self, id: str, tokens: int) -> None:
         """Take note that a request is sent to a target."""
-        load = self._own.setdefault(id, _Load())
+        load = self._own.setdefault(id, peers_module.Work())
         load.running += 1
         load.tokens += tokens
 
@@ -275,11 +254,19 @@
 
     def is_paused(self, service: str, now_s: float) -> bool:
         """Tell whether a service as a whole takes nothing for now."""
+        return self._is_resting(service, now_s) or self.is_out(service)
+
+    def is_out(self, service: str) -> bool:
+        """Tell whether a service's group is known to run nothing."""
+        return self._groups.is_broken(service)
+
+    def _is_resting(self, service: str, now_s: float) -> bool:
         return self._paused_until_s.get(service, 0.0) > now_s
 
     def note_begun(self, service: str) -> None:
         """Take note that a target has begun to answer."""
         self._refusals.pop(service, None)
+        self._groups.note_begun(service)
 
     def note_busy(self, id: str, service: str, now_s: float) -> None:
         """Take note that a target refused a request.
@@ -324,24 +311,7 @@
 
     def take_load(self, load: targets.Load, now_s: float) -> None:
         """Take another instance's report, unless a newer one came first."""
-        held = self._peers.get(load.sender)
-        if held is not None:
-            order = (held.incarnation, held.sequence)
-            if (load.incarnation, load.sequence) <= order:
-                return
-        self._peers[load.sender] = _Peer(
-            incarnation=load.incarnation,
-            sequence=load.sequence,
-            heard_s=now_s,
-            loads={one.target: one for one in load.targets},
-            services={one.service: one for one in load.services},
-        )
-
-    def _forget_peers(self, now_s: float) -> None:
-        stale_s = now_s - const.PEER_LOAD_S
-        for sender, peer in list(self._peers.items()):
-            if peer.heard_s < stale_s:
-                del self._peers[sender]
+        self._peers.take(load, now_s)
 
     @property
     def has_load(self) -> bool:
--- a/packages/bambooring/src/bambooring/experts/const.py
+++ b/packages/bambooring/src/bambooring/experts/const.py
@@ -21,6 +21,9 @@
 # A switch must shorten the passes by this factor at least.
 LEAST_GAIN: typing.Final = 1.12
 PREPARE_TIMEOUT_S: typing.Final = 4.0
+# A rank copies experts one after the other, and all ranks wait for the last
+# one. What is left over goes into the next switch.
+COPY_TIME_S: typing.Final = 0.25
 # An order that has no answer by then counts as unknown.
 ANSWER_TIMEOUT_S: typing.Final = 0.4
 # A hold that nobody has released by then is cleared up.
@@ -28,6 +31,8 @@
 # After a switch the next one waits for new demand; after a failed one the
 # cause may last.
 PAUSE_S: typing.Final = 0.4
+# A switch that copied as much as it may is followed by the next one.
+PARTIAL_PAUSE_S: typing.Final = 0.05
 BACK_OFF_S: typing.Final = 1.0
 # A pass that began before the hold came is given up for a later one, this
 # many times.
--- a/packages/bambooring/src/bambooring/experts/demand.py
+++ b/packages/bambooring/src/bambooring/experts/demand.py
@@ -8,36 +8,49 @@
 # What was chosen this long ago counts half.
 HALF_LIFE_S: typing.Final = 0.7
 
+# Newer counts weigh more instead of older ones less; before the weight
+# grows beyond what adds up exactly, all is scaled down.
+_MAX_HALF_LIVES: typing.Final = 40.0
+
 
 class Demand:
-    """Hold the decayed counts of one group."""
+    """Hold the weighted counts of one group; only their ratios matter.
+
+    What is chosen depends on the requests, so it outlasts the group's
+    epochs: a group that opens again can be given a fitting map at once.
+    """
 
-    __slots__ = ('_at_s', 'epoch', 'sets')
+    __slots__ = ('_since_s', 'sets')
 
     def __init__(self) -> None:
         self.sets: list[placement.Loads] = []
-        self.epoch = 0
-        self._at_s = 0.0
+        self._since_s = 0.0
 
     def add(self, report: ranks.RankDemand, now_s: float) -> None:
         """Add what one rank's requests chose.
 
         :param report: the counts since the rank's last report
         :param now_s: the current time in seconds
+        :raises FrameError: if the report can't be unpacked
         """
-        rows = _cut(report.counts, report.sets)
-        if self.epoch != report.epoch or len(self.sets) != len(rows):
+        rows = _cut(ranks.unpack_counts(report.packed), report.sets)
+        if [len(row) for row in rows] != [len(loads) for loads in self.sets]:
             self.sets = [[0.0] * len(row) for row in rows]
-            self.epoch = report.epoch
-        self._decay(now_s)
+            self._since_s = now_s
+        weight = self._get_weight(now_s)
         for loads, row in zip(self.sets, rows, strict=True):
             for expert, count in enumerate(row):
-                loads[expert] += count
-
-    def _decay(self, now_s: float) -> None:
-        factor = 0.5 ** ((now_s - self._at_s) / HALF_LIFE_S)
-        self._at_s = now_s
+                if count:
+                    loads[expert] += count * weight
+
+    def _get_weight(self, now_s: float) -> float:
+        half_lives = (now_s - self._since_s) / HALF_LIFE_S
+        if half_lives < _MAX_HALF_LIVES:
+            return 2.0**half_lives
+        factor = 0.5**half_lives
         self.sets = [[load * factor for load in loads] for loads in self.sets]
+        self._since_s = now_s
+        return 1.0
 
     @property
     def has_any(self) -> bool:
--- a/packages/bambooring/src/bambooring/experts/progress.py
+++ b/packages/bambooring/src/bambooring/experts/progress.py
@@ -22,12 +22,14 @@
 class Model:
     """Describe a group's engines.
 
-    ``share`` is the part of a token's work that experts do.
+    ``share`` is the part of a token's work that experts do. ``copy_s`` is
+    how long a rank takes to copy one expert.
     """
 
     places: int
     spare: int
     share: float
+    copy_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -75,13 +77,15 @@
     """Hold the switch that is under way.
 
     ``doubtful`` are the ranks at which an order to arm the prepared version
-    may still be on its way.
+    may still be on its way. ``is_partial`` tells that more was to be copied
+    than one switch may.
     """
 
     epoch: int
     version: int
     sets: list[ranks.SetMap]
     started_s: float
+    is_partial: bool = False
     holder: int = 0
     step: int = 0
     hold_tries: int = 0
--- a/packages/bambooring/src/bambooring/experts/rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancing.py
@@ -18,6 +18,8 @@
 at once, and one that finds another's hold clears it up by the same rules.
 """
 
+import sys
+
 from bambooring.experts import const
 from bambooring.experts import demand as demand_module
 from bambooring.experts import placement
@@ -37,7 +39,8 @@
         self._model = model
         self._ranks: dict[int, progress.Rank] = {}
         self._switch: progress.Switch | None = None
-        self._pending: dict[int, progress.Pending] = {}
+        # By the order's number and the rank.
+        self._pending: dict[tuple[int, int], progress.Pending] = {}
         self._next_order = term * const.VERSIONS_PER_TERM * 1000 + 1
         self._version = term * const.VERSIONS_PER_TERM
         self._residue = term % const.STEP_RESIDUES
@@ -51,6 +54,13 @@
         """Take a changed description of the engines."""
         self._model = model
 
+    def list_paces(self) -> list[float]:
+        """Return each rank's pace, in the order of the ranks."""
+        return [
+            self._ranks[rank].state.pace if rank in self._ranks else 1.0
+            for rank in range(max(self._ranks, default=-1) + 1)
+        ]
+
     def take_state(
         self, state: ranks.RankState, now_s: float
     ) -> progress.Effects:
@@ -82,16 +92,16 @@
         self._ranks[done.state.rank] = progress.Rank(
             state=done.state, seen_s=now_s
         )
-        pending = self._pending.pop(done.order, None)
+        pending = self._pending.pop((done.order, done.state.rank), None)
         if pending is not None and self._switch is not None:
             yield from self._take_outcome(pending, done.outcome, now_s)
         yield from self.take_state(done.state, now_s)
 
     def tick(self, now_s: float) -> progress.Effects:
         """Do what is due by time alone."""
-        for number, pending in list(self._pending.items()):
+        for key, pending in list(self._pending.items()):
             if now_s - pending.sent_s > const.ANSWER_TIMEOUT_S:
-                is_open = self._pending.pop(number, None) is not None
+                is_open = self._pending.pop(key, None) is not None
                 if is_open and self._switch is not None:
                     yield from self._take_outcome(
                         pending, ranks.Outcome.UNKNOWN, now_s
@@ -141,7 +151,7 @@
         self._held_since_s = None
         if now_s < self._not_before_s or not _are_even(states):
             return
-        if self.demand.epoch != states[0].epoch or not self.demand.has_any:
+        if not self.demand.has_any:
             return
         yield from self._plan(states, now_s)
 
@@ -168,20 +178,15 @@
     def _plan(
         self, states: dict[int, ranks.RankState], now_s: float
     ) -> progress.Effects:
-        bounds = placement.Bounds(
-            places=self._model.places, spare=self._model.spare
+        plans = placement.plan_map(
+            [
+                [states[rank].layout[index].experts for rank in sorted(states)]
+                for index in range(len(self.demand.sets))
+            ],
+            self.demand.sets,
+            self._make_bounds(),
+            [states[rank].pace for rank in sorted(states)],
         )
-        plans = [
-            placement.plan_set(
-                [
-                    states[rank].layout[index].experts
-                    for rank in range(len(states))
-                ],
-                loads,
-                bounds,
-            )
-            for index, loads in enumerate(self.demand.sets)
-        ]
         gain = self._estimate_gain(plans)
         self._not_before_s = now_s + const.PAUSE_S
         if gain < const.LEAST_GAIN:
@@ -192,6 +197,7 @@
             version=self._version,
             sets=[_make_set_map(plan.layout) for plan in plans],
             started_s=now_s,
+            is_partial=any(plan.is_partial for plan in plans),
         )
         self._switch = switch
         self.phase = progress.Phase.PREPARING
@@ -201,14 +207,22 @@
             gain=gain,
             moves=sum(plan.moves for plan in plans),
         )
+        order = self._make_order(
+            ranks.OrderKind.PREPARE,
+            version=switch.version,
+            sets=switch.sets,
+        )
         for rank in states:
-            yield self._order(
-                rank,
-                ranks.OrderKind.PREPARE,
-                now_s,
-                version=switch.version,
-                sets=switch.sets,
-            )
+            yield self._give(rank, order, now_s)
+
+    def _make_bounds(self) -> placement.Bounds:
+        model = self._model
+        copies = sys.maxsize
+        if model.copy_s:
+            copies = max(1, int(const.COPY_TIME_S / model.copy_s))
+        return placement.Bounds(
+            places=model.places, spare=model.spare, copies=copies
+        )
 
     def _estimate_gain(self, plans: list[placement.SetPlan]) -> float:
         """Return by which factor the passes become shorter."""
@@ -227,6 +241,18 @@
         step: int = 0,
         sets: list[ranks.SetMap] | None = None,
     ) -> progress.GiveOrder:
+        order = self._make_order(kind, version=version, step=step, sets=sets)
+        return self._give(rank, order, now_s)
+
+    def _make_order(
+        self,
+        kind: ranks.OrderKind,
+        *,
+        version: int = 0,
+        step: int = 0,
+        sets: list[ranks.SetMap] | None = None,
+    ) -> ranks.RankOrder:
+        """Return an order that may go to one rank or to several."""
         assert self._switch is not None
         order = ranks.RankOrder(
             order=self._next_order,
@@ -237,7 +263,12 @@
             sets=sets or [],
         )
         self._next_order += 1
-        self._pending[order.order] = progress.Pending(
+        return order
+
+    def _give(
+        self, rank: int, order: ranks.RankOrder, now_s: float
+    ) -> progress.GiveOrder:
+        self._pending[order.order, rank] = progress.Pending(
             rank=rank, order=order, sent_s=now_s
         )
         return progress.GiveOrder(
@@ -335,14 +366,11 @@
             return
         self.phase = progress.Phase.ARMING
         switch.doubtful = set(self._ranks)
+        order = self._make_order(
+            ranks.OrderKind.ARM, version=switch.version, step=switch.step
+        )
         for rank in self._ranks:
-            yield self._order(
-                rank,
-                ranks.OrderKind.ARM,
-                now_s,
-                version=switch.version,
-                step=switch.step,
-            )
+            yield self._give(rank, order, now_s)
 
     def _take_armed(
         self, pending: progress.Pending, outcome: ranks.Outcome, now_s: float
@@ -389,7 +417,10 @@
                 version=switch.version,
                 step=switch.step,
             )
-            self._end(now_s, const.PAUSE_S)
+            pause_s = const.PAUSE_S
+            if switch.is_partial:
+                pause_s = const.PARTIAL_PAUSE_S
+            self._end(now_s, pause_s)
 
     def _release_again(
         self, holder: progress.Rank, now_s: float
--- /dev/null
+++ b/packages/bambooring/src/bambooring/experts/tests/test_demand.py
@@ -0,0 +1,52 @@
+"""Follow demand that shifts, through outages of the group."""
+
+import pytest
+
+from bambooring.experts import demand as demand_module
+from bambooring_core import errors
+from bambooring_core.ranks import messages
+
+
+def _report(counts, epoch=1):
+    return messages.RankDemand(
+        target='rank-0',
+        group='g',
+        epoch=epoch,
+        rank=0,
+        sets=1,
+        packed=messages.pack_counts(counts),
+    )
+
+
+def test_newer_counts_weigh_more():
+    """After a few half-lives only the new demand matters."""
+    demand = demand_module.Demand()
+    demand.add(_report([100, 0]), 0.0)
+    demand.add(_report([0, 100]), 4 * demand_module.HALF_LIFE_S)
+    old, new = demand.sets[0]
+    assert new == pytest.approx(16 * old)
+
+
+def test_long_day():
+    """The weights stay finite, and the ratios right, for days."""
+    demand = demand_module.Demand()
+    for hour in range(200):
+        demand.add(_report([3, 1]), hour * 3600.0)
+    first, second = demand.sets[0]
+    assert first / second == pytest.approx(3)
+
+
+def test_demand_outlasts_an_epoch():
+    """A group that opens again is asked the same as before."""
+    demand = demand_module.Demand()
+    demand.add(_report([8, 1]), 0.0)
+    demand.add(_report([8, 1], epoch=2), 0.0)
+    assert demand.sets == [[16, 2]]
+
+
+def test_spoilt_report():
+    """What can't be unpacked is an error of the frame."""
+    report = _report([1, 2])
+    report.packed = b'spoilt'
+    with pytest.raises(errors.FrameError):
+        demand_module.Demand().add(report, 0.0)
--- a/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
@@ -188,7 +188,7 @@
             epoch=1,
             rank=0,
             sets=SETS,
-            counts=row * SETS,
+            packed=messages.pack_counts(row * SETS),
         )
         coordinator.demand.add(demand, self.now_s)
 
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -122,6 +122,7 @@
     ahead: int,
     duration_s: float,
     time_left_s: float,
+    is_out: bool = False,
 ) -> WaitEstimate:
     """Estimate a request's wait behind others for the same service.
 
@@ -129,14 +130,15 @@
     :param ahead: how many requests wait here before this one
     :param duration_s: the mean time that a request runs
     :param time_left_s: until the caller's deadline
+    :param is_out: whether nothing runs at all for now
     """
-    limit_s = min(
-        time_left_s - duration_s * const.MIN_TIME_SHARE,
-        duration_s * const.WAIT_DURATIONS,
-    )
+    last_s = time_left_s - duration_s * const.MIN_TIME_SHARE
+    limit_s = min(last_s, duration_s * const.WAIT_DURATIONS)
+    # Nobody knows when a service that is out comes back; half of the limit
+    # is the guess that lets callers wait out a short gap.
+    if is_out:
+        return WaitEstimate(wait_s=last_s / 2, limit_s=last_s)
     if not view.slots:
-        # Nobody knows when a target comes; half of the limit is the guess
-        # that lets callers wait out a short gap.
         return WaitEstimate(wait_s=limit_s / 2, limit_s=limit_s)
     waiting = ahead + view.waiting_elsewhere + 1
     return WaitEstimate(
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -166,11 +166,13 @@
     def _estimate(
         self, service: str, ahead: int, passage: passage_module.Passage
     ) -> decisions.WaitEstimate:
+        now_s = self.reactor.now()
         return decisions.estimate_wait(
-            self.balancer.view(service, self.reactor.now()),
+            self.balancer.view(service, now_s),
             ahead=ahead,
             duration_s=self.balancer.get_duration_s(service),
             time_left_s=passage.get_time_left(),
+            is_out=self.balancer.is_out(service),
         )
 
     def _try_place(self, passage: passage_module.Passage) -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
@@ -167,6 +167,19 @@
     assert long.retry_after_s <= const.RETRY_AFTER_MAX_S
 
 
+def test_outage_is_waited_out():
+    """While a group is down a request waits for as long as it can run."""
+    out = decisions.estimate_wait(
+        _view(), ahead=9, duration_s=1.0, time_left_s=8, is_out=True
+    )
+    assert out.is_worthwhile
+    assert out.limit_s == 7.5
+    late = decisions.estimate_wait(
+        _view(), ahead=0, duration_s=1.0, time_left_s=0.4, is_out=True
+    )
+    assert not late.is_worthwhile
+
+
 def test_no_wait_without_time():
     """A request whose deadline is near is refused at once."""
     late = decisions.estimate_wait(
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -67,6 +67,9 @@
             address=settings.link_address,
             incarnation=incarnation,
         )
+        listening = {}
+        if settings.bind_address:
+            listening['bind_address'] = settings.bind_address
         super().__init__(
             reactor=reactor,
             identity=identity,
@@ -75,7 +78,7 @@
             key=settings.key,
             disk=disk
             or storage_module.FolderDisk(pathlib.Path(settings.data_folder)),
-            make_hub=make_hub,
+            make_hub=functools.partial(make_hub, **listening),
         )
         self._pushed = 0
         self._told: dict[links.Link, int] = {}
@@ -93,6 +96,9 @@
             get_agents=functools.partial(groups.list_agents, self._hub),
             get_term=lambda: self._replicator.term,
             get_model=self._find_model,
+            get_entries=functools.partial(
+                self._hub.get_links, core_const.ROLE_ENTRY
+            ),
         )
         self._models: dict[str, progress.Model] = {}
         self._models_version = 0
@@ -254,6 +260,7 @@
                     places=one.experts.places,
                     spare=one.experts.spare,
                     share=one.experts.share,
+                    copy_s=one.experts.copy_s,
                 )
                 for one in decoded.services
                 if one.experts is not None
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -192,6 +192,13 @@
                 self._take_grant(message)
             case targets.Announced():
                 self._take_announced(link, message)
+            case targets.GroupPaces():
+                self._balancer.take_paces(message, self._reactor.now())
+                LOG.info(
+                    'slow ranks known',
+                    group=message.group,
+                    slowest=round(max(message.paces, default=1.0), 1),
+                )
             case targets.Topology():
                 self._take_topology(link, message)
             case _:
--- a/packages/bambooring/src/bambooring/gateway/groups.py
+++ b/packages/bambooring/src/bambooring/gateway/groups.py
@@ -1,6 +1,7 @@
 """Lead the model groups while this control replica leads."""
 
 import collections.abc
+import dataclasses
 import functools
 import typing
 
@@ -9,7 +10,10 @@
 from bambooring.experts import progress
 from bambooring.experts import rebalancing
 from bambooring import metrics
+from bambooring.targets import messages as targets
 from bambooring_core import const as core_const
+from bambooring_core import errors as core_errors
+from bambooring_core import frames
 from bambooring_core import links
 from bambooring_core.ranks import messages as ranks
 from bambooring_core import reactor as reactor_module
@@ -17,10 +21,20 @@
 LOG = structlog.get_logger(__name__)
 
 TICK_INTERVAL_S: typing.Final = 0.05
+# Entry instances forget slow ranks that they aren't told of again.
+PACES_INTERVAL_S: typing.Final = 1.0
 
 GetModel = collections.abc.Callable[[str], progress.Model | None]
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _ToldPaces:
+    """Hold what the entry instances were told of a group, and when."""
+
+    paces: list[float] = dataclasses.field(default_factory=list)
+    at_s: float = 0.0
+
+
 class GroupOffice:
     """Hold the groups' rebalancers and the links to their agents."""
 
@@ -31,14 +45,17 @@
         get_agents: collections.abc.Callable[[], list[links.Link]],
         get_term: collections.abc.Callable[[], int],
         get_model: GetModel,
+        get_entries: collections.abc.Callable[[], list[links.Link]],
     ) -> None:
         self._reactor = reactor
         self._get_agents = get_agents
         self._get_term = get_term
         self._get_model = get_model
+        self._get_entries = get_entries
         self._rebalancers: dict[str, rebalancing.Rebalancer] = {}
         self._term = 0
         self._attendance: ranks.Attendance | None = None
+        self._told: dict[str, _ToldPaces] = {}
 
     def attend(self, is_leader: bool, controls: list[str]) -> None:
         """Tell the agents who leads, and forget the groups if it isn't us."""
@@ -46,6 +63,7 @@
         if term != self._term:
             self._term = term
             self._rebalancers.clear()
+            self._told.clear()
         attendance = ranks.Attendance(is_leader=is_leader, controls=controls)
         if attendance != self._attendance:
             self._attendance = attendance
@@ -62,6 +80,32 @@
         now_s = self._reactor.now()
         for rebalancer in self._rebalancers.values():
             self._carry_out(rebalancer, rebalancer.tick(now_s))
+            self._tell_paces(rebalancer, now_s)
+
+    def _tell_paces(
+        self, rebalancer: rebalancing.Rebalancer, now_s: float
+    ) -> None:
+        """Tell the entry instances of slow ranks, again and again."""
+        paces = [round(one, 1) for one in rebalancer.list_paces()]
+        told = self._told.get(rebalancer.group, _ToldPaces())
+        is_same = paces == told.paces or (
+            all(one == 1.0 for one in paces) and not told.paces
+        )
+        if is_same and now_s - told.at_s < PACES_INTERVAL_S:
+            return
+        if not any(one > 1.0 for one in [*paces, *told.paces]):
+            return
+        self._told[rebalancer.group] = _ToldPaces(paces=paces, at_s=now_s)
+        if not is_same:
+            slow = {
+                str(rank): pace
+                for rank, pace in enumerate(paces)
+                if pace > 1.0
+            }
+            LOG.info('slow ranks', group=rebalancer.group, paces=slow)
+        message = targets.GroupPaces(group=rebalancer.group, paces=paces)
+        for link in self._get_entries():
+            link.send(message)
 
     def receive(self, link: links.Link, message: typing.Any) -> bool:
         """Handle an agent's message.
@@ -75,13 +119,22 @@
             case ranks.RankOrderDone():
                 self._handle(message.state, 'take_done', message, now_s)
             case ranks.RankDemand():
-                rebalancer = self._rebalancers.get(message.group)
-                if rebalancer is not None:
-                    rebalancer.demand.add(message, now_s)
+                self._take_demand(message, now_s)
             case _:
                 return False
         return True
 
+    def _take_demand(self, demand: ranks.RankDemand, now_s: float) -> None:
+        rebalancer = self._rebalancers.get(demand.group)
+        if rebalancer is None:
+            return
+        try:
+            rebalancer.demand.add(demand, now_s)
+        except core_errors.FrameError as error:
+            LOG.warning(
+                'demand unreadable', target=demand.target, error=str(error)
+            )
+
     def _handle(
         self,
         state: ranks.RankState,
@@ -116,14 +169,17 @@
         rebalancer: rebalancing.Rebalancer,
         effects: progress.Effects,
     ) -> None:
-        by_name = {link.name: link for link in self._get_agents()}
+        by_name: dict[str, links.Link] | None = None
+        encoder = _OrderEncoder()
         for effect in effects:
             match effect:
                 case progress.GiveOrder():
+                    if by_name is None:
+                        by_name = {one.name: one for one in self._get_agents()}
                     link = by_name.get(effect.target)
                     metrics.ORDERS.labels(kind=effect.order.kind).inc()
                     if link is not None:
-                        link.send(effect.order)
+                        link.send_frame(encoder.encode(effect.order))
                 case progress.Note():
                     metrics.SWITCHES.labels(event=effect.event).inc()
                     LOG.info(
@@ -138,6 +194,21 @@
                     )
 
 
+class _OrderEncoder:
+    """Encode an order once that goes to many ranks; a map is large."""
+
+    def __init__(self) -> None:
+        self._order: ranks.RankOrder | None = None
+        self._frame = b''
+
+    def encode(self, order: ranks.RankOrder) -> bytes:
+        """Return an order's frame."""
+        if order is not self._order:
+            self._order = order
+            self._frame = frames.encode(order)
+        return self._frame
+
+
 def list_agents(hub: links.Hub) -> list[links.Link]:
     """Return the links to agents."""
     return hub.get_links(core_const.ROLE_AGENT)
--- a/packages/bambooring/src/bambooring/gateway/messages.py
+++ b/packages/bambooring/src/bambooring/gateway/messages.py
@@ -22,7 +22,8 @@
 class Settings:
     """Hold what one process is told; addresses are 'IP:PORT'.
 
-    ``link_address`` is where other processes link to this one. ``seeds``
+    ``link_address`` is where other processes link to this one; where that
+    leads to another address, ``bind_address`` is what it listens on. ``seeds``
     are the link addresses of some control replicas. ``may_form`` allows
     the seeds to form the first group of voters. Times in seconds.
     """
@@ -34,6 +35,7 @@
     link_address: str
     seeds: list[str]
     may_form: bool
+    bind_address: str = ''
     callers_address: str = ''
     ready_address: str = ''
     control_address: str = ''
--- a/packages/bambooring/src/bambooring/policy/messages.py
+++ b/packages/bambooring/src/bambooring/policy/messages.py
@@ -64,12 +64,13 @@
 
     A rank has ``places`` in each set of layers, of which ``spare`` may be
     new to it in one map. ``share`` is the part of a token's work that
-    experts do.
+    experts do. ``copy_s`` is how long a rank takes to copy one expert.
     """
 
     places: int
     spare: int
     share: float
+    copy_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -26,7 +26,8 @@
 
     ``born_ms`` is the run's start in milliseconds since the epoch by the
     target's clock, ``sequence`` rises with each of its announcements.
-    ``group`` is empty for a target outside a model group.
+    ``group`` is empty for a target outside a model group. A group that is
+    not open runs nothing until it opens again, in a later epoch.
     """
 
     id: str
@@ -40,6 +41,7 @@
     group: str = ''
     group_epoch: int = 0
     rank: int = 0
+    is_group_open: bool = True
 
 
 @codec.register(SCHEMA, 170)
@@ -72,6 +74,15 @@
     controls: list[str]
 
 
+@codec.register(SCHEMA, 174)
+@dataclasses.dataclass(slots=True, kw_only=True)
+class GroupPaces:
+    """Tell by rank how many times longer than usual each one takes."""
+
+    group: str
+    paces: list[float]
+
+
 @codec.register(SCHEMA)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class TargetLoad:
--- a/packages/bambooring/src/bambooring/targets/targets.capnp
+++ b/packages/bambooring/src/bambooring/targets/targets.capnp
@@ -18,6 +18,7 @@
   group @8 :Text;
   groupEpoch @9 :UInt64;
   rank @10 :UInt32;
+  isGroupOpen @11 :Bool = true;
 }
 
 struct Announced {
@@ -35,6 +36,11 @@
   controls @1 :List(Text);
 }
 
+struct GroupPaces {
+  group @0 :Text;
+  paces @1 :List(Float32);
+}
+
 struct TargetLoad {
   target @0 :Text;
   running @1 :UInt32;
--- a/packages/core/src/bambooring_core/links.py
+++ b/packages/core/src/bambooring_core/links.py
@@ -324,11 +324,14 @@
         identity: identity_module.Identity,
         key: bytes,
         handler: Handler,
+        bind_address: str = '',
     ) -> None:
         self.reactor = reactor
         self.identity = identity
         self.key = key
         self.handler = handler
+        # Where to listen, if others reach it by another address.
+        self._bind_address = bind_address or identity.address
         self._links: set[Link] = set()
         self._dials: dict[str, _Dial] = {}
         self._listener: socket.socket | None = None
@@ -337,7 +340,7 @@
 
     def __enter__(self) -> typing.Self:
         self._listener = socket.create_server(
-            split_address(self.identity.address), backlog=1024
+            split_address(self._bind_address), backlog=1024
         )
         self._listener.setblocking(False)
         self.reactor.watch(self._listener, selectors.EVENT_READ, self._accept)
--- a/packages/core/src/bambooring_core/ranks/messages.py
+++ b/packages/core/src/bambooring_core/ranks/messages.py
@@ -5,12 +5,15 @@
 arm it for a pass, and hold one rank before that pass until all are armed.
 """
 
+import array
 import dataclasses
 import enum
 import os
 import typing
+import zlib
 
 from bambooring_core import codec
+from bambooring_core import errors
 from bambooring_core.http1 import messages as http1
 
 SCHEMA = codec.load_schema(
@@ -19,6 +22,8 @@
 
 # Stands for no pass that is held.
 NOT_HELD: typing.Final = -1
+# Counts are packed many times a second, so quickly rather than well.
+_PACK_LEVEL: typing.Final = 1
 # Stands for a map that nobody has looked at.
 UNKNOWN_LAYOUT: typing.Final = -1
 
@@ -74,7 +79,8 @@
     pass that was begun. ``version`` is the map in force; ``prepared`` and
     ``armed`` are versions or 0, ``held`` is a pass or NOT_HELD. ``layout``
     lists by set the experts that it holds under ``layout_version``, which is
-    UNKNOWN_LAYOUT before the first look.
+    UNKNOWN_LAYOUT before the first look. ``pace`` is how many times longer
+    than a sound rank it takes for the same work.
     """
 
     target: str
@@ -91,6 +97,7 @@
     held: int
     layout_version: int = UNKNOWN_LAYOUT
     layout: list[RankExperts] = dataclasses.field(default_factory=list)
+    pace: float = 1.0
 
 
 @codec.register(SCHEMA, 181)
@@ -121,7 +128,8 @@
 class RankDemand:
     """Report how often a rank's requests chose each expert lately.
 
-    ``counts`` holds ``sets`` rows of as many experts each.
+    ``packed`` holds ``sets`` rows of as many counts each, see
+    :func:`pack_counts`.
     """
 
     target: str
@@ -129,7 +137,25 @@
     epoch: int
     rank: int
     sets: int
-    counts: list[int]
+    packed: bytes
+
+
+def pack_counts(counts: list[int]) -> bytes:
+    """Pack counts; most are small, so they take about a byte each."""
+    return zlib.compress(array.array('I', counts).tobytes(), _PACK_LEVEL)
+
+
+def unpack_counts(packed: bytes) -> list[int]:
+    """Unpack counts.
+
+    :raises FrameError: if they can't be unpacked
+    """
+    counts = array.array('I')
+    try:
+        counts.frombytes(zlib.decompress(packed))
+    except (zlib.error, ValueError) as error:
+        raise errors.FrameError(f'counts: {error}') from error
+    return counts.tolist()
 
 
 @codec.register(SCHEMA, 184)
--- a/packages/core/src/bambooring_core/ranks/ranks.capnp
+++ b/packages/core/src/bambooring_core/ranks/ranks.capnp
@@ -37,6 +37,7 @@
   layoutVersion @11 :Int64;
   layout @12 :List(RankExperts);
   service @13 :Text;
+  pace @14 :Float32 = 1;
 }
 
 struct RankOrder {
@@ -60,7 +61,9 @@
   epoch @2 :UInt64;
   rank @3 :UInt32;
   sets @4 :UInt32;
-  counts @5 :List(UInt32);
+  # Plain counts, which earlier versions sent.
+  oldCounts @5 :List(UInt32);
+  packed @6 :Data;
 }
 
 struct Attendance {
--- /dev/null
+++ b/soak/clock.py
@@ -0,0 +1,43 @@
+"""Run the real program with a wall clock that jumps.
+
+``python -m soak.clock OFFSET_FILE`` is ``python -m bambooring_platform``
+with the seconds in the file added to the time of day. The monotonic clocks
+stay as they are, as on a machine whose time of day is set.
+"""
+
+import pathlib
+import sys
+import time
+
+from bambooring_platform import __main__ as program
+
+_LOOK_INTERVAL_S = 0.1
+
+
+class JumpingClock:
+    """Add the offset in a file to the time of day."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+        self._get_time = time.time
+        self._offset_s = 0.0
+        self._looked_s = 0.0
+
+    def __call__(self) -> float:
+        now_s = time.monotonic()
+        if now_s - self._looked_s > _LOOK_INTERVAL_S:
+            self._looked_s = now_s
+            self._offset_s = self._read()
+        return self._get_time() + self._offset_s
+
+    def _read(self) -> float:
+        try:
+            return float(self._path.read_text())
+        except (OSError, ValueError):
+            # The file is being written; the next look finds it whole.
+            return self._offset_s
+
+
+if __name__ == '__main__':
+    time.time = JumpingClock(pathlib.Path(sys.argv[1]))
+    sys.exit(program.main())
--- /dev/null
+++ b/soak/relay.py
@@ -0,0 +1,196 @@
+"""Stand between two processes on loopback and spoil what passes."""
+
+import contextlib
+import dataclasses
+import enum
+import selectors
+import socket
+import struct
+import threading
+import time
+import types
+import typing
+
+_CHUNK_BYTES = 65536
+_TURN_S = 0.02
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+
+class Mode(enum.Enum):
+    """Say what becomes of the bytes.
+
+    SILENT passes nothing either way and refuses nothing; FORWARD_ONLY and
+    BACKWARD_ONLY pass one direction, from the dialling end or to it.
+    """
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    SILENT = 'silent'
+    FORWARD_ONLY = 'forward_only'
+    BACKWARD_ONLY = 'backward_only'
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Pipe:
+    """Hold one direction of one connection.
+
+    A pipe that is stuck stays so: what has lost track of a connection
+    doesn't find it again.
+    """
+
+    source: socket.socket
+    sink: socket.socket
+    is_forward: bool
+    waiting: list[tuple[float, bytes]] = dataclasses.field(
+        default_factory=list
+    )
+    is_stuck: bool = False
+
+
+class Relay:
+    """Own a listening socket and a thread that passes bytes on."""
+
+    def __init__(
+        self, listen: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        self._target = target
+        self._listener = socket.create_server(listen, backlog=256)
+        self._listener.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._listener, selectors.EVENT_READ)
+        self._pipes: dict[socket.socket, _Pipe] = {}
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._is_over = False
+        self._must_reset = False
+        self._must_stick = False
+        self.mode = Mode.PASS
+        self.delay_s = 0.0
+
+    def __enter__(self) -> typing.Self:
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._is_over = True
+        self._thread.join()
+
+    def reset(self) -> None:
+        """Reset every connection that is open now."""
+        self._must_reset = True
+
+    def stick(self) -> None:
+        """Let the open connections go silent for good."""
+        self._must_stick = True
+
+    def _run(self) -> None:
+        while not self._is_over:
+            for key, _ in self._selector.select(_TURN_S):
+                if key.fileobj is self._listener:
+                    self._accept()
+                elif key.fileobj in self._pipes:
+                    self._read(self._pipes[key.fileobj])
+            self._apply_orders()
+            self._pass_due()
+        for sock in [self._listener, *self._pipes]:
+            sock.close()
+        self._selector.close()
+
+    def _apply_orders(self) -> None:
+        if self._must_reset:
+            self._must_reset = False
+            for pipe in list(self._pipes.values()):
+                self._close(pipe, is_reset=True)
+        if self._must_stick:
+            self._must_stick = False
+            for pipe in self._pipes.values():
+                pipe.is_stuck = True
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            near, _ = self._listener.accept()
+            far = socket.socket()
+            try:
+                far.connect(self._target)
+            except OSError:
+                far.close()
+                near.close()
+                return
+            for source, sink, is_forward in (
+                (near, far, True),
+                (far, near, False),
+            ):
+                source.setblocking(False)
+                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                self._pipes[source] = _Pipe(
+                    source=source, sink=sink, is_forward=is_forward
+                )
+                self._selector.register(source, selectors.EVENT_READ)
+
+    def _read(self, pipe: _Pipe) -> None:
+        try:
+            data = pipe.source.recv(_CHUNK_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._close(pipe, is_reset=True)
+            return
+        if not data:
+            self._selector.unregister(pipe.source)
+        delay_s = self.delay_s if self.mode is Mode.DELAY else 0.0
+        pipe.waiting.append((time.monotonic() + delay_s, data))
+
+    def _passes(self, pipe: _Pipe) -> bool:
+        if pipe.is_stuck or self.mode is Mode.SILENT:
+            return False
+        if self.mode is Mode.FORWARD_ONLY:
+            return pipe.is_forward
+        if self.mode is Mode.BACKWARD_ONLY:
+            return not pipe.is_forward
+        return True
+
+    def _pass_due(self) -> None:
+        now_s = time.monotonic()
+        for pipe in list(self._pipes.values()):
+            while (
+                pipe.waiting
+                and pipe.waiting[0][0] <= now_s
+                and self._passes(pipe)
+            ):
+                _, data = pipe.waiting.pop(0)
+                if not self._write(pipe, data):
+                    break
+
+    def _write(self, pipe: _Pipe, data: bytes) -> bool:
+        """Write to the sink; return False if it takes no more for now."""
+        if not data:
+            self._close(pipe, is_reset=False)
+            return False
+        try:
+            sent = pipe.sink.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._close(pipe, is_reset=True)
+            return False
+        if sent < len(data):
+            pipe.waiting.insert(0, (0.0, data[sent:]))
+            return False
+        return True
+
+    def _close(self, pipe: _Pipe, *, is_reset: bool) -> None:
+        for sock in (pipe.source, pipe.sink):
+            if self._pipes.pop(sock, None) is None:
+                continue
+            with contextlib.suppress(KeyError, ValueError):
+                self._selector.unregister(sock)
+            if is_reset:
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                    )
+            sock.close()
