Give orders to ranks again that got no answer

With 63 ranks nearly every try meets one such order. Ruled out: planning time (0.2 s), links (no rank was unlinked). Change: an order without an answer is given again, up to five times; late first ones are refused by version or pass. A rank whose arm order may still come in stays doubtful, so a switch that is taken back outdates it. The check without the guard now runs at 0.6 late orders, where tries still end in the middle; the check with it runs at 0.2 and 0.6.

--- a/packages/bambooring/src/bambooring/experts/const.py
+++ b/packages/bambooring/src/bambooring/experts/const.py
@@ -26,6 +26,9 @@
 COPY_TIME_S: typing.Final = 0.25
 # An order that has no answer by then counts as unknown.
 ANSWER_TIMEOUT_S: typing.Final = 0.4
+# An order without an answer is given again, up to so many times in all. In
+# a large group some answer is nearly always missing.
+ORDER_TRIES: typing.Final = 5
 # A hold that nobody has released by then is cleared up.
 STRAY_HOLD_S: typing.Final = 0.6
 # After a switch the next one waits for new demand; after a failed one the
--- a/packages/bambooring/src/bambooring/experts/progress.py
+++ b/packages/bambooring/src/bambooring/experts/progress.py
@@ -65,11 +65,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Pending:
-    """Hold an order that has no answer yet."""
+    """Hold an order that has no answer yet.
+
+    ``tries`` counts the orders to the same effect, this one included.
+    """
 
     rank: int
     order: ranks.RankOrder
     sent_s: float
+    tries: int = 1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/bambooring/src/bambooring/experts/rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancing.py
@@ -266,15 +266,35 @@
         return order
 
     def _give(
-        self, rank: int, order: ranks.RankOrder, now_s: float
+        self,
+        rank: int,
+        order: ranks.RankOrder,
+        now_s: float,
+        tries: int = 1,
     ) -> progress.GiveOrder:
         self._pending[order.order, rank] = progress.Pending(
-            rank=rank, order=order, sent_s=now_s
+            rank=rank, order=order, sent_s=now_s, tries=tries
         )
         return progress.GiveOrder(
             target=self._ranks[rank].state.target, order=order
         )
 
+    def _give_again(
+        self, pending: progress.Pending, now_s: float
+    ) -> progress.GiveOrder:
+        """Repeat an order that may or may not have come in.
+
+        Should the first one come in late, it is refused: its version has
+        been had, or its pass has begun.
+        """
+        order = self._make_order(
+            pending.order.kind,
+            version=pending.order.version,
+            step=pending.order.step,
+            sets=pending.order.sets,
+        )
+        return self._give(pending.rank, order, now_s, pending.tries + 1)
+
     def _is_pending(self, rank: int) -> bool:
         return any(one.rank == rank for one in self._pending.values())
 
@@ -285,7 +305,7 @@
             case progress.Phase.PREPARING:
                 yield from self._take_prepared(pending, outcome, now_s)
             case progress.Phase.HOLDING:
-                yield from self._take_held(outcome, now_s)
+                yield from self._take_held(pending, outcome, now_s)
             case progress.Phase.ARMING:
                 yield from self._take_armed(pending, outcome, now_s)
             case _:
@@ -304,6 +324,12 @@
             return
         if pending.order.kind is not ranks.OrderKind.PREPARE:
             return
+        if _may_give_again(pending, outcome):
+            yield self._give_again(pending, now_s)
+            return
+        if pending.tries > 1 and outcome is ranks.Outcome.REFUSED:
+            # An earlier one has come in; the rank's state tells the rest.
+            return
         yield progress.Note(
             event='switch not prepared',
             version=pending.order.version,
@@ -345,10 +371,15 @@
         return step
 
     def _take_held(
-        self, outcome: ranks.Outcome, now_s: float
+        self, pending: progress.Pending, outcome: ranks.Outcome, now_s: float
     ) -> progress.Effects:
         switch = self._switch
         assert switch is not None
+        if self._ranks[switch.holder].state.held == switch.step:
+            outcome = ranks.Outcome.DONE
+        elif _may_give_again(pending, outcome):
+            yield self._give_again(pending, now_s)
+            return
         switch.hold_tries += 1
         is_late = outcome is ranks.Outcome.REFUSED
         if is_late and switch.hold_tries < const.HOLD_TRIES:
@@ -377,15 +408,18 @@
     ) -> progress.Effects:
         switch = self._switch
         assert switch is not None
-        if outcome is ranks.Outcome.DONE:
-            switch.armed.add(pending.rank)
+        if outcome is not ranks.Outcome.UNKNOWN and pending.tries == 1:
             switch.doubtful.discard(pending.rank)
+        is_armed = self._ranks[pending.rank].state.armed == switch.version
+        if is_armed or outcome is ranks.Outcome.DONE:
+            switch.armed.add(pending.rank)
             if len(switch.armed) == len(self._ranks):
                 self.phase = progress.Phase.RELEASING
                 yield self._release(now_s)
             return
-        if outcome is ranks.Outcome.REFUSED:
-            switch.doubtful.discard(pending.rank)
+        if _may_give_again(pending, outcome):
+            yield self._give_again(pending, now_s)
+            return
         yield progress.Note(
             event='switch not armed',
             version=switch.version,
@@ -505,6 +539,12 @@
         ]
 
 
+def _may_give_again(pending: progress.Pending, outcome: ranks.Outcome) -> bool:
+    return (
+        outcome is ranks.Outcome.UNKNOWN and pending.tries < const.ORDER_TRIES
+    )
+
+
 def _are_even(states: dict[int, ranks.RankState]) -> bool:
     """Tell whether all ranks are open, known and on one map."""
     first = states.get(0)
--- a/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
@@ -253,10 +253,25 @@
     assert group.longest_s <= MOST_STALL_S
 
 
+def test_switches_go_on_while_orders_come_late():
+    """Orders are given again, so a few late ones don't end a switch.
+
+    The pattern: a third of all orders gets no answer for some seconds, and
+    demand shifts meanwhile; with many ranks hardly any try is free of that.
+    """
+    group = Group(3, late=0.33)
+    group.lead(1)
+    group.run(30)
+    begun = group.notes.count('switch begins')
+    assert begun >= 10
+    assert group.switches >= 0.8 * begun
+
+
+@pytest.mark.parametrize('late', [0.2, 0.6])
 @pytest.mark.parametrize('seed', range(30))
-def test_late_orders_never_mix_maps(seed):
+def test_late_orders_never_mix_maps(seed, late):
     """Orders without an answer come late; no pass sees two maps."""
-    group = Group(seed, late=0.2, lost_state=0.05)
+    group = Group(seed, late=late, lost_state=0.05)
     group.lead(1)
     group.run(60)
     _check_calm(group)
@@ -294,6 +309,6 @@
     )
     with pytest.raises(AssertionError):
         for seed in range(30):
-            group = Group(seed, late=0.2, lost_state=0.05)
+            group = Group(seed, late=0.6, lost_state=0.05)
             group.lead(1)
             group.run(60)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -124,9 +124,7 @@
             return ''
         self._disturb(for_s + 1.0)
         self._site.signal(process, signal.SIGSTOP)
-        self._later(
-            for_s, lambda: self._site.signal(process, signal.SIGCONT)
-        )
+        self._later(for_s, lambda: self._site.signal(process, signal.SIGCONT))
         return f'pause {process.name} for {for_s:.1f} s'
 
     def _stop(self) -> str:
