--- a/packages/agent/src/bambooring_agent/ranks/tests/test_state.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_state.py
@@ -55,4 +55,5 @@
     _measure(meter, [0, 0, 0])
     _measure(meter, [1, 0, 2])
     _measure(meter, [1, 0, 2])
+    assert meter.newest is not None
     assert messages.unpack_counts(meter.newest.packed) == [1, 0, 2]
--- a/packages/bambooring/src/bambooring/balancing/groups.py
+++ b/packages/bambooring/src/bambooring/balancing/groups.py
@@ -73,11 +73,16 @@
         if epoch is not None:
             self._disproved[service] = epoch
 
-    def take_paces(self, paces: targets.GroupPaces, now_s: float) -> None:
-        """Take how long the ranks of a group take."""
+    def take_paces(self, paces: targets.GroupPaces, now_s: float) -> bool:
+        """Take how long the ranks of a group take.
+
+        :returns: whether that has changed
+        """
+        before = self._paces.get(paces.group)
         fastest = min(paces.paces, default=1.0)
         self._paces[paces.group] = [one / fastest for one in paces.paces]
         self._paces_s[paces.group] = now_s
+        return self._paces[paces.group] != before
 
     def forget_paces(self, now_s: float) -> None:
         """Forget what nobody has told for a while."""
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -152,9 +152,12 @@
         running = self.count_running(target.id) + 1
         return running * self._groups.get_pace(target) <= most
 
-    def take_paces(self, paces: targets.GroupPaces, now_s: float) -> None:
-        """Take how long the ranks of a group take."""
-        self._groups.take_paces(paces, now_s)
+    def take_paces(self, paces: targets.GroupPaces, now_s: float) -> bool:
+        """Take how long the ranks of a group take.
+
+        :returns: whether that has changed
+        """
+        return self._groups.take_paces(paces, now_s)
 
     def note_gap(self, service: str, gap_s: float, accepted_s: float) -> None:
         """Take note of a pause between two events of a stream."""
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -193,17 +193,20 @@
             case targets.Announced():
                 self._take_announced(link, message)
             case targets.GroupPaces():
-                self._balancer.take_paces(message, self._reactor.now())
-                LOG.info(
-                    'slow ranks known',
-                    group=message.group,
-                    slowest=round(max(message.paces, default=1.0), 1),
-                )
+                self._take_paces(message)
             case targets.Topology():
                 self._take_topology(link, message)
             case _:
                 LOG.warning('message ignored', kind=type(message).__name__)
 
+    def _take_paces(self, paces: targets.GroupPaces) -> None:
+        if self._balancer.take_paces(paces, self._reactor.now()):
+            LOG.info(
+                'slow ranks known',
+                group=paces.group,
+                slowest=round(max(paces.paces, default=1.0), 1),
+            )
+
     def _take_policy(self, link: links.Link, held: policy.Document) -> None:
         table = self.forwarder.table
         if table is not None and held.version <= table.version:
--- a/packages/bambooring/src/bambooring/gateway/groups.py
+++ b/packages/bambooring/src/bambooring/gateway/groups.py
@@ -1,7 +1,6 @@
 """Lead the model groups while this control replica leads."""
 
 import collections.abc
-import dataclasses
 import functools
 import typing
 
@@ -9,8 +8,8 @@
 
 from bambooring.experts import progress
 from bambooring.experts import rebalancing
+from bambooring.gateway import paces as paces_module
 from bambooring import metrics
-from bambooring.targets import messages as targets
 from bambooring_core import const as core_const
 from bambooring_core import errors as core_errors
 from bambooring_core import frames
@@ -21,20 +20,10 @@
 LOG = structlog.get_logger(__name__)
 
 TICK_INTERVAL_S: typing.Final = 0.05
-# Entry instances forget slow ranks that they aren't told of again.
-PACES_INTERVAL_S: typing.Final = 1.0
 
 GetModel = collections.abc.Callable[[str], progress.Model | None]
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _ToldPaces:
-    """Hold what the entry instances were told of a group, and when."""
-
-    paces: list[float] = dataclasses.field(default_factory=list)
-    at_s: float = 0.0
-
-
 class GroupOffice:
     """Hold the groups' rebalancers and the links to their agents."""
 
@@ -51,11 +40,10 @@
         self._get_agents = get_agents
         self._get_term = get_term
         self._get_model = get_model
-        self._get_entries = get_entries
         self._rebalancers: dict[str, rebalancing.Rebalancer] = {}
         self._term = 0
         self._attendance: ranks.Attendance | None = None
-        self._told: dict[str, _ToldPaces] = {}
+        self._paces = paces_module.PaceOffice(get_entries)
 
     def attend(self, is_leader: bool, controls: list[str]) -> None:
         """Tell the agents who leads, and forget the groups if it isn't us."""
@@ -63,7 +51,7 @@
         if term != self._term:
             self._term = term
             self._rebalancers.clear()
-            self._told.clear()
+            self._paces.forget_all()
         attendance = ranks.Attendance(is_leader=is_leader, controls=controls)
         if attendance != self._attendance:
             self._attendance = attendance
@@ -80,32 +68,7 @@
         now_s = self._reactor.now()
         for rebalancer in self._rebalancers.values():
             self._carry_out(rebalancer, rebalancer.tick(now_s))
-            self._tell_paces(rebalancer, now_s)
-
-    def _tell_paces(
-        self, rebalancer: rebalancing.Rebalancer, now_s: float
-    ) -> None:
-        """Tell the entry instances of slow ranks, again and again."""
-        paces = [round(one, 1) for one in rebalancer.list_paces()]
-        told = self._told.get(rebalancer.group, _ToldPaces())
-        is_same = paces == told.paces or (
-            all(one == 1.0 for one in paces) and not told.paces
-        )
-        if is_same and now_s - told.at_s < PACES_INTERVAL_S:
-            return
-        if not any(one > 1.0 for one in [*paces, *told.paces]):
-            return
-        self._told[rebalancer.group] = _ToldPaces(paces=paces, at_s=now_s)
-        if not is_same:
-            slow = {
-                str(rank): pace
-                for rank, pace in enumerate(paces)
-                if pace > 1.0
-            }
-            LOG.info('slow ranks', group=rebalancer.group, paces=slow)
-        message = targets.GroupPaces(group=rebalancer.group, paces=paces)
-        for link in self._get_entries():
-            link.send(message)
+            self._paces.tell(rebalancer.group, rebalancer.list_paces(), now_s)
 
     def receive(self, link: links.Link, message: typing.Any) -> bool:
         """Handle an agent's message.
