Tell callers at once to come back while a model group is known to be broken

Cause: with heartbeats telling of a broken group, every request waited 1.6 s for it to open, was refused, came back and waited again; in a cut of a failure domain most were refused late. Ruled out: offers in vain (a broken group gets one probe a second by now). Change: a request with over three quarters of its route's time left is refused at once with Retry-After (a third of its time); one that has come back waits. What still is given up late are those that came back and waited in vain.

--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -53,7 +53,11 @@
 RETRY_AFTER_MAX_S: typing.Final = 2.0
 # While a whole service is out, nobody knows for how long; a caller is asked
 # to wait for this share of its time, which leaves it time for an answer.
-OUTAGE_RETRY_SHARE: typing.Final = 0.3
+OUTAGE_RETRY_SHARE: typing.Final = 0.33
+# While a group is known to be broken, a request with more than this share
+# of its route's time left is told at once to come back; with less, its
+# caller will hardly come again, so it waits for as long as it may.
+COME_BACK_SHARE: typing.Final = 0.75
 
 
 class Reason(enum.StrEnum):
@@ -68,6 +72,7 @@
     OVERLOAD = 'overload'
     TOO_LATE = 'too_late'
     TARGET_REFUSED = 'target_refused'
+    GROUP_BROKEN = 'group_broken'
     TARGET_FAILED = 'target_failed'
     TIMEOUT = 'timeout'
     STREAM_BROKEN = 'stream_broken'
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -146,6 +146,23 @@
     )
 
 
+def should_come_back(
+    route: policy.Route, progress: 'Progress', time_left_s: float
+) -> bool:
+    """Tell whether a caller does better to come back than to wait.
+
+    It is asked while nothing can run the request and nobody knows for how
+    long. A caller with most of its time left is told so at once.
+
+    :param route: the route
+    :param progress: what has been tried
+    :param time_left_s: until the caller's deadline
+    """
+    if progress.is_begun or progress.may_have_run:
+        return False
+    return time_left_s > const.COME_BACK_SHARE * route.timeout_s
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Progress:
     """Sum up what has been tried for a request.
--- a/packages/bambooring/src/bambooring/forwarding/passage.py
+++ b/packages/bambooring/src/bambooring/forwarding/passage.py
@@ -121,6 +121,13 @@
         )
         return silent_s * const.WAIT_SHARE
 
+    @property
+    def should_come_back(self) -> bool:
+        """Tell whether its caller does better to come back than to wait."""
+        return decisions.should_come_back(
+            self.route, self.progress, self.get_time_left()
+        )
+
     def get_time_left(self) -> float:
         """Return the time until the caller's deadline, in seconds."""
         return self.deadline_s - self._forwarder.reactor.now()
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -136,6 +136,9 @@
         ahead = [one for one in queue if one.get_rank(now_s) < rank]
         if not ahead and self._try_place(passage):
             return
+        if self.balancer.is_out(passage.service) and passage.should_come_back:
+            passage.give_up(const.Reason.GROUP_BROKEN)
+            return
         estimate = self._estimate(passage.service, len(ahead), passage)
         if not estimate.is_worthwhile:
             LOG.info(
@@ -159,6 +162,8 @@
     def _name_lack(self, service: str, now_s: float) -> const.Reason:
         if not self.balancer.view(service, now_s).usable:
             return const.Reason.NO_TARGET
+        if self.balancer.is_out(service):
+            return const.Reason.GROUP_BROKEN
         if self.balancer.is_paused(service, now_s):
             return const.Reason.TARGET_REFUSED
         return const.Reason.OVERLOAD
@@ -309,7 +314,7 @@
         now_s = self.reactor.now()
         view = self.balancer.view(service, now_s)
         if not view.usable or self.balancer.is_paused(service, now_s):
-            share = const.OUTAGE_RETRY_SHARE * self._rng.uniform(0.8, 1.0)
+            share = const.OUTAGE_RETRY_SHARE * self._rng.uniform(0.85, 1.0)
             wait_s = share * passage.get_time_left()
             return max(wait_s, const.RETRY_AFTER_MIN_S)
         duration_s = self.balancer.get_duration_s(service)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
@@ -180,6 +180,19 @@
     assert not late.is_worthwhile
 
 
+def test_caller_is_told_of_an_outage_at_once():
+    """With most of its time left it comes back; who came back waits."""
+    progress = decisions.Progress()
+    timeout_s = RESUMABLE.timeout_s
+    assert decisions.should_come_back(RESUMABLE, progress, timeout_s)
+    left_s = timeout_s * (1 - const.OUTAGE_RETRY_SHARE)
+    assert not decisions.should_come_back(RESUMABLE, progress, left_s)
+    begun = decisions.Progress(is_begun=True)
+    assert not decisions.should_come_back(RESUMABLE, begun, timeout_s)
+    run = decisions.Progress(may_have_run=True)
+    assert not decisions.should_come_back(RESUMABLE, run, timeout_s)
+
+
 def test_no_wait_without_time():
     """A request whose deadline is near is refused at once."""
     late = decisions.estimate_wait(
