--- /dev/null
+++ b/packages/core/src/bambooring_core/tests/test_logs.py
@@ -0,0 +1,54 @@
+"""Write lines to a reader that stalls, without waiting for it."""
+
+import os
+import threading
+
+from bambooring_core import logs
+
+LINES = 60_000
+
+
+def _fill(descriptor):
+    """Write into a pipe until it takes no more."""
+    os.set_blocking(descriptor, False)
+    try:
+        while True:
+            os.write(descriptor, b'x' * 4096)
+    except BlockingIOError:
+        os.set_blocking(descriptor, True)
+
+
+def test_full_pipe_blocks_nobody():
+    """Lines are left out and counted while nobody reads."""
+    source, sink = os.pipe()
+    writer = logs.LineWriter(sink)
+    is_done = threading.Event()
+
+    def work():
+        for number in range(LINES):
+            writer.write(f'line {number}')
+            if number % 1000 == 0:
+                writer.flush()
+        is_done.set()
+
+    _fill(sink)
+    with writer:
+        worker = threading.Thread(target=work, daemon=True)
+        worker.start()
+        assert is_done.wait(30.0)
+        assert writer.dropped > 0
+        # The reader is back: the lines that waited arrive.
+        received = b''
+        while b'line 0\n' not in received:
+            received += os.read(source, 65536)
+        os.close(source)
+
+
+def test_lost_reader_ends_nothing():
+    """A reader that is gone costs lines only."""
+    source, sink = os.pipe()
+    os.close(source)
+    with logs.LineWriter(sink) as writer:
+        writer.write('nobody reads this')
+        writer.flush()
+    os.close(sink)
