--- a/packages/bambooring/src/bambooring/forwarding/tests/test_overload.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_overload.py
@@ -25,7 +25,7 @@
         name='r',
         host='h',
         prefix='/',
-        kind='stream',
+        kind=policy.Kind.STREAM,
         services=[],
         timeout_s=8.0,
         objective_s=0.5,
--- a/packages/bambooring/src/bambooring/gateway/tests/test_budget.py
+++ b/packages/bambooring/src/bambooring/gateway/tests/test_budget.py
@@ -47,14 +47,15 @@
 @pytest.mark.parametrize('instances', [1, 18, 70])
 def test_all_instances_together(instances):
     """What all may retry in any window stays within the bound."""
-    with reactor_module.Reactor(clock_module.ManualClock()) as reactor:
+    clock = clock_module.ManualClock()
+    with reactor_module.Reactor(clock) as reactor:
         entries = [
             _make_entry(reactor, number, instances)
             for number in range(instances)
         ]
         requests, retries = [], []
         for _ in range(round(SECONDS / TURN_S)):
-            reactor.clock.advance(TURN_S)
+            clock.advance(TURN_S)
             asked = taken = 0
             for one in entries:
                 one.forwarder._budget.earn()
