Let accounts and routes that get too few answers go first

Ruled out: the estimate that refuses at once (the test has none). Change: each entry instance counts by account and by route how requests ended lately; whoever gets less than half of the share that all get goes first.

--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -26,6 +26,13 @@
 # be late; those that can still be on time go before it.
 LATE_SHARE: typing.Final = 0.6
 
+# Whoever gets less than this share of the answers that all get goes first;
+# twice the quarter below which nobody may fall.
+FAIR_SHARE: typing.Final = 0.5
+FAIRNESS_HALF_LIFE_S: typing.Final = 5.0
+FAIRNESS_FORGET_S: typing.Final = 60.0
+FAIRNESS_MAX_NAMES: typing.Final = 4096
+
 # Each step of priority is worth so much waiting.
 ACCOUNT_STEP_S: typing.Final = 0.3
 ROUTE_STEP_S: typing.Final = 0.1
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -59,9 +59,10 @@
     )
 
 
-# A place in a queue: whether a stream has not begun, whether the request
-# will be late, and when it came, by priority.
-Rank = tuple[bool, bool, float]
+# A place in a queue: whether a stream has not begun, whether its account and
+# route get their share, whether the request will be late, and when it came,
+# by priority.
+Rank = tuple[bool, bool, bool, float]
 
 
 def rank(
@@ -71,11 +72,13 @@
     received_s: float,
     is_begun: bool,
     now_s: float,
+    is_underserved: bool = False,
 ) -> Rank:
     """Return a request's place in the queue; the least goes first.
 
     A stream that has begun goes first, since its caller has a part. Then
-    come those that can be on time: served oldest first, a queue that stands
+    come those whose account or route gets too few answers, and among equals
+    those that can be on time: served oldest first, a queue that stands
     for long would make every request late. Each step of priority is worth
     some waiting, so that no account or route waits for ever.
 
@@ -84,12 +87,13 @@
     :param received_s: when it came
     :param is_begun: whether its caller has a part of the answer
     :param now_s: the current time in seconds
+    :param is_underserved: whether its account or route gets too few answers
     """
     is_late = now_s - received_s > route.objective_s * const.LATE_SHARE
     step_s = route.priority * const.ROUTE_STEP_S
     if account is not None:
         step_s += account.priority * const.ACCOUNT_STEP_S
-    return not is_begun, is_late, received_s + step_s
+    return not is_begun, not is_underserved, is_late, received_s + step_s
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/bambooring/src/bambooring/forwarding/passage.py
+++ b/packages/bambooring/src/bambooring/forwarding/passage.py
@@ -10,6 +10,7 @@
 from bambooring.forwarding import decisions
 from bambooring.forwarding import errors
 from bambooring.forwarding import events
+from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import trace as trace_module
 from bambooring import metrics
@@ -25,6 +26,7 @@
 
     reactor: reactor_module.Reactor
     balancer: balancing.Balancer
+    fairness: fairness_module.Fairness
 
     def offer(
         self, passage: 'Passage', choice: balancing.Choice
@@ -76,6 +78,11 @@
         self.route = admitted.route
         self.account = admitted.account
         self.service = service
+        # The names under which its end is counted.
+        self._fair_names = [
+            f'account {self.account.name if self.account else ""}',
+            f'route {self.route.name}',
+        ]
         self.progress = decisions.Progress()
         self.tried: set[str] = set()
         self.received_s = exchange.request.received_s
@@ -107,6 +114,9 @@
             received_s=self.received_s,
             is_begun=self.progress.is_begun,
             now_s=now_s,
+            is_underserved=self._forwarder.fairness.is_underserved(
+                self._fair_names
+            ),
         )
 
     @property
@@ -425,6 +435,12 @@
         self._cancel_silence()
         self._forwarder.withdraw(self)
         self._forwarder.forget(self)
+        if outcome != const.Reason.CALLER_LEFT:
+            self._forwarder.fairness.note(
+                self._fair_names,
+                is_served=outcome == 'answered',
+                now_s=self._forwarder.reactor.now(),
+            )
         trace_module.record(
             trace_module.Story(
                 request=self.request,
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -12,6 +12,7 @@
 from bambooring.forwarding import decisions
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.forwarding import errors
+from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import passage as passage_module
 from bambooring import metrics
@@ -45,6 +46,7 @@
     ) -> None:
         self.reactor = reactor
         self.balancer = balancer
+        self.fairness = fairness_module.Fairness()
         self.table: policy_state.Table | None = None
         self._dialect = dialect
         self._lease = lease
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_overload.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_overload.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bambooring.forwarding import decisions
+from bambooring.forwarding import fairness as fairness_module
 from bambooring.policy import messages as policy
 
 SECONDS = 20.0
@@ -57,6 +58,7 @@
     ]
     asked, served = [0] * len(shares), [0] * len(shares)
     queue: list[tuple[float, int]] = []
+    fairness = fairness_module.Fairness()
     free = due = 0.0
     for turn in range(round(SECONDS / TURN_S)):
         now_s = turn * TURN_S
@@ -67,7 +69,10 @@
             asked[kind] += 1
             queue.append((now_s, kind))
         free = min(free + CAPACITY_PER_S * TURN_S, 2.0)
-        queue = [one for one in queue if now_s - one[0] < PATIENCE_S]
+        for one in list(queue):
+            if now_s - one[0] >= PATIENCE_S:
+                queue.remove(one)
+                fairness.note([str(one[1])], is_served=False, now_s=now_s)
 
         def get_rank(one, now_s=now_s):
             route, account = made[one[1]]
@@ -77,11 +82,14 @@
                 received_s=one[0],
                 is_begun=False,
                 now_s=now_s,
+                is_underserved=fairness.is_underserved([str(one[1])]),
             )
 
         queue.sort(key=get_rank)
         while queue and free >= 1:
-            served[queue.pop(0)[1]] += 1
+            kind = queue.pop(0)[1]
+            served[kind] += 1
+            fairness.note([str(kind)], is_served=True, now_s=now_s)
             free -= 1
     each = [done / count for done, count in zip(served, asked, strict=True)]
     return each, sum(served) / sum(asked)
