--- a/measures/control.py
+++ b/measures/control.py
@@ -11,6 +11,7 @@
 from bambooring_core import const
 from measures import report
 from proofs import cluster as cluster_module
+from proofs import declarations
 from proofs import world as world_module
 
 SIZES = (6, 18, 48)
@@ -123,7 +124,7 @@
             'schema': 1,
             'key_digest': f'{number:064x}',
         }
-        edit = cluster_module.make_edit(content, 0)
+        edit = declarations.make_edit(content, 0)
         answers = cluster.apply(f'change-{number}', [edit])
         start = cluster.world.now
         while not _is_everywhere(cluster, answers):
--- a/measures/service.py
+++ b/measures/service.py
@@ -17,6 +17,9 @@
 from bambooring_core import settings
 from measures import report
 from proofs import cluster as cluster_module
+from proofs import declarations
+from proofs import engines
+from proofs import exchanges
 from proofs import world as world_module
 
 SLOTS = 16
@@ -36,7 +39,7 @@
     begun: bool = False
 
 
-class BatchEngine(cluster_module.SimEngine):
+class BatchEngine(engines.SimEngine):
     """Run every request of a target in one batch, step by step."""
 
     def __init__(self, **more: typing.Any) -> None:
@@ -106,7 +109,7 @@
     answered_at: float = 0.0
 
 
-class Caller(cluster_module.Exchange):
+class Caller(exchanges.Exchange):
     """Note when the first byte came."""
 
     def __init__(self, request_id: str, body: bytes) -> None:
@@ -165,7 +168,7 @@
     def _declare(self, start_within_s: float) -> list[configuration.Edit]:
         service = {
             'kind': 'service',
-            'name': cluster_module.CHAT,
+            'name': declarations.CHAT,
             'schema': 1,
             'protocol': 'chat',
             'start_within_s': start_within_s,
@@ -184,7 +187,7 @@
             for index, key in enumerate(self.keys)
         ]
         return [
-            cluster_module.make_edit(content, 0)
+            declarations.make_edit(content, 0)
             for content in [service, *accounts]
         ]
 
@@ -193,7 +196,7 @@
         self.cluster.start_all()
         self.cluster.on_run.append(self._note_run)
 
-    def _note_run(self, run: cluster_module.Run) -> None:
+    def _note_run(self, run: engines.Run) -> None:
         self.attempts += 1
 
     def send(self, demand: Demand) -> None:
@@ -204,7 +207,7 @@
         self.sent[demand.account] += 1
         text = f'{demand.account} {len(self.demands)} {demand.sent}'
         body = {
-            'model': cluster_module.CHAT,
+            'model': declarations.CHAT,
             'stream': True,
             'max_tokens': demand.tokens,
             'messages': [{'role': 'user', 'content': text}],
--- a/proofs/answers.py
+++ b/proofs/answers.py
@@ -7,7 +7,9 @@
 
 import json
 
-from proofs import cluster as cluster_module
+from proofs import declarations
+from proofs import engines
+from proofs import exchanges
 from proofs import scenario
 from proofs import world as world_module
 
@@ -24,7 +26,7 @@
 
     def __init__(self, world: world_module.World) -> None:
         super().__init__(world)
-        self.sent: list[cluster_module.Exchange] = []
+        self.sent: list[exchanges.Exchange] = []
         self.gone: set[str] = set()
 
     def work(self) -> None:
@@ -32,7 +34,7 @@
         number = len(self.sent) + 1
         body = json.dumps(
             {
-                'model': cluster_module.CHAT,
+                'model': declarations.CHAT,
                 'stream': True,
                 'messages': [{'role': 'user', 'content': f'ask {number}'}],
             }
@@ -46,7 +48,7 @@
             delay_s = self.world.rng.uniform(0.0, 1.0)
             self.world.schedule(delay_s, lambda: self.leave(exchange))
 
-    def leave(self, exchange: cluster_module.Exchange) -> None:
+    def leave(self, exchange: exchanges.Exchange) -> None:
         """Let the caller go away."""
         if exchange.end is not None:
             return
@@ -54,9 +56,9 @@
         self.gone.add(exchange.request_id)
         self.cluster.go_away(exchange)
 
-    def check_answer(self, exchange: cluster_module.Exchange) -> None:
+    def check_answer(self, exchange: exchanges.Exchange) -> None:
         """Compare an answer with what it must be."""
-        parts = cluster_module.make_answer('', exchange.body)
+        parts = engines.make_answer('', exchange.body)
         expected = b''.join(parts)
         if exchange.is_whole:
             self.world.check(
--- a/proofs/bookings.py
+++ b/proofs/bookings.py
@@ -9,7 +9,9 @@
 import collections
 import json
 
-from proofs import cluster as cluster_module
+from proofs import declarations
+from proofs import engines
+from proofs import exchanges
 from proofs import scenario
 from proofs import world as world_module
 
@@ -47,7 +49,7 @@
         body = json.dumps({'slot': key}).encode()
         exchange = self.cluster.send(
             entry,
-            path=f'/services/{cluster_module.PLAIN}/slots',
+            path=f'/services/{declarations.PLAIN}/slots',
             body=body,
             key=key,
         )
@@ -64,7 +66,7 @@
         self.world.schedule(PATIENCE_S, hear)
 
     def hear(
-        self, key: str, exchange: cluster_module.Exchange, attempts: int
+        self, key: str, exchange: exchanges.Exchange, attempts: int
     ) -> None:
         """Judge an answer."""
         if exchange.is_whole:
@@ -84,15 +86,15 @@
         else:
             self.unknown.add(key)
 
-    def note_answer(self, key: str, exchange: cluster_module.Exchange) -> None:
+    def note_answer(self, key: str, exchange: exchanges.Exchange) -> None:
         """Check a whole answer: whose it is and that it stays the same."""
-        expected = b''.join(cluster_module.make_answer('', exchange.body))
+        expected = b''.join(engines.make_answer('', exchange.body))
         self.world.check(exchange.text == expected, f'{key}: wrong answer')
         self.world.check(self.effects[key] == 1, f'{key}: no effect')
         self.answers.setdefault(key, exchange.text)
         self.done.add(key)
 
-    def note_effect(self, run: cluster_module.Run) -> None:
+    def note_effect(self, run: engines.Run) -> None:
         """Count an effect and check it at once."""
         key = json.loads(run.body)['slot']
         self.effects[key] += 1
--- a/proofs/cluster.py
+++ b/proofs/cluster.py
@@ -6,9 +6,7 @@
 
 import collections
 import collections.abc
-import dataclasses
 import itertools
-import json
 import typing
 
 from bambooring.callers import errors as callers_errors
@@ -16,202 +14,18 @@
 from bambooring.configuration import messages as configuration
 from bambooring.configuration import records
 from bambooring import control as control_module
-from bambooring.dispatch import messages as dispatch
 from bambooring import entry as entry_module
 from bambooring_agent import process as agent_module
 from bambooring_core import codec
 from bambooring_core.dispatch import messages as wire
-from bambooring_core import settings
+from proofs import declarations as declarations_module
 from proofs import disk as disk_module
+from proofs import engines
+from proofs import exchanges
 from proofs import network as network_module
 from proofs import world as world_module
 
 DOMAINS = ('rajkot', 'amreli', 'junagadh')
-CHAT = 'rota-llm'
-PLAIN = 'rota-app'
-KEYS = ('key-of-account-one', 'key-of-account-two')
-CHUNKS = 12
-CHUNK_S = 0.05
-CRASH_MARK = 'crash-the-target'
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Run:
-    """Hold one run of a request on a target."""
-
-    request_id: str
-    target: str
-    at: float
-    is_booking: bool
-    body: bytes
-
-
-class SimTarget:
-    """Stand in for a target, apart from its agent's process."""
-
-    def __init__(self, cluster: 'Cluster', name: str) -> None:
-        self.cluster = cluster
-        self.name = name
-        self.is_alive = True
-        self.generation = 0
-        self.engine: 'SimEngine | None' = None
-
-    def die(self) -> None:
-        """End every call, as a crash does, and come back later."""
-        if not self.is_alive:
-            return
-        self.is_alive = False
-        self.generation += 1
-        if self.engine is not None:
-            self.engine.lose_all()
-        self.cluster.world.schedule(
-            self.cluster.world.rng.uniform(0.5, 3.0), self.come_back
-        )
-
-    def come_back(self) -> None:
-        """Answer again."""
-        self.is_alive = True
-
-
-class SimEngine:
-    """Be the agent's engine: call the target in simulated time."""
-
-    def __init__(
-        self,
-        *,
-        reactor: network_module.SimReactor,
-        url: str,
-        health_path: str | None,
-        sink: typing.Any,
-        target: SimTarget,
-    ) -> None:
-        self.reactor = reactor
-        self.sink = sink
-        self.target = target
-        self.world = reactor.world
-        self._running: dict[int, wire.Start] = {}
-        target.engine = self
-        reactor.call_every(0.5, self._check_health)
-
-    def _check_health(self) -> None:
-        self.sink.health_changed(self.target.is_alive)
-
-    def call(self, start: wire.Start) -> None:
-        """Run an attempt on the target."""
-        if not self.target.is_alive:
-            self._end_later(start, wire.Outcome.NOT_RUN, 'unreachable')
-            return
-        self.target.cluster.note_run(self.target, start)
-        self._running[start.attempt] = start
-        if CRASH_MARK.encode() in start.body:
-            self.world.schedule(
-                self.world.rng.uniform(0.01, 0.2), self.target.die
-            )
-        parts = make_answer(start.request_id, start.body)
-        if not start.is_chat:
-            parts = [b''.join(parts)]
-        self._later(0.005, lambda: self._open(start))
-        for index, part in enumerate(parts, 1):
-            self._later(index * CHUNK_S, self._make_writer(start, part))
-        end_s = len(parts) * CHUNK_S + 0.001
-        self._later(end_s, lambda: self._finish(start))
-
-    def _later(
-        self, delay_s: float, action: collections.abc.Callable[[], None]
-    ) -> None:
-        generation = self.target.generation
-
-        def act() -> None:
-            if self.target.generation == generation:
-                action()
-
-        self.reactor.call_later(delay_s, act)
-
-    def _end_later(
-        self, start: wire.Start, outcome: wire.Outcome, reason: str
-    ) -> None:
-        self.reactor.call_later(
-            0.002,
-            lambda: self.sink.call_ended(start.attempt, outcome, reason),
-        )
-
-    def _open(self, start: wire.Start) -> None:
-        if start.attempt in self._running:
-            kind = 'text/event-stream' if start.is_chat else 'text/plain'
-            headers = [wire.Header(name='Content-Type', value=kind)]
-            self.sink.call_opened(start.attempt, 200, headers)
-
-    def _make_writer(
-        self, start: wire.Start, part: bytes
-    ) -> collections.abc.Callable[[], None]:
-        def write() -> None:
-            if start.attempt in self._running:
-                self.sink.call_output(start.attempt, part)
-
-        return write
-
-    def _finish(self, start: wire.Start) -> None:
-        if self._running.pop(start.attempt, None) is not None:
-            self.sink.call_ended(start.attempt, wire.Outcome.COMPLETE, '')
-
-    def abort(self, attempt: int) -> None:
-        """End a call."""
-        self._running.pop(attempt, None)
-
-    def lose_all(self) -> None:
-        """Lose every call, as when the target crashes."""
-        running, self._running = self._running, {}
-        for start in running.values():
-            self._end_later(start, wire.Outcome.UNKNOWN, 'target_lost')
-
-
-def make_answer(request_id: str, body: bytes) -> list[bytes]:
-    """Return the parts of the answer to a request's body."""
-    digest = settings.compute_digest(body.decode())[:12]
-    return [f'{digest}:{index};'.encode() for index in range(CHUNKS)]
-
-
-class Exchange:
-    """Hold what one caller hears of one request."""
-
-    def __init__(self, request_id: str, body: bytes) -> None:
-        self.request_id = request_id
-        self.body = body
-        self.head: dispatch.Head | None = None
-        self.parts: list[bytes] = []
-        self.end: dispatch.Finished | dispatch.Failure | None = None
-        self.on_end: collections.abc.Callable[[], None] = lambda: None
-
-    @property
-    def text(self) -> bytes:
-        """Return the body so far."""
-        return b''.join(self.parts)
-
-    @property
-    def is_whole(self) -> bool:
-        """Tell whether it ended as a whole answer."""
-        return isinstance(self.end, dispatch.Finished)
-
-    def put(self, event: dispatch.Event) -> None:
-        """Hear an event."""
-        if self.end is not None:
-            return
-        match event:
-            case dispatch.Head():
-                self.head = event
-            case dispatch.Data():
-                self.parts.append(event.data)
-            case dispatch.Finished() | dispatch.Failure():
-                self.end = event
-                self.on_end()
-
-    def fail(
-        self, reason: str, outcome: wire.Outcome, status: int = 0
-    ) -> None:
-        """Hear a failure that dispatch did not tell."""
-        self.put(
-            dispatch.Failure(status=status, reason=reason, outcome=outcome)
-        )
 
 
 class Cluster:
@@ -227,26 +41,32 @@
         plain_per_domain: int = 1,
         slots: int = 16,
         queue_limit: int = 64,
-        make_engine: collections.abc.Callable[..., SimEngine] = SimEngine,
-        make_exchange: collections.abc.Callable[..., Exchange] = Exchange,
+        make_engine: collections.abc.Callable[
+            ..., engines.SimEngine
+        ] = engines.SimEngine,
+        make_exchange: collections.abc.Callable[
+            ..., exchanges.Exchange
+        ] = exchanges.Exchange,
         declarations: list[configuration.Edit] | None = None,
     ) -> None:
         self._queue_limit = queue_limit
         self._make_engine = make_engine
         self._make_exchange = make_exchange
-        self._declarations = declarations or make_declarations()
+        self._declarations = (
+            declarations or declarations_module.make_declarations()
+        )
         self.world = world
         self.network = network_module.Network(world)
         self.domains = list(domains)
         self.nodes: dict[str, network_module.Node] = {}
         self.disks: dict[str, disk_module.MemoryDisk] = {}
-        self.targets: dict[str, SimTarget] = {}
-        self.runs: list[Run] = []
+        self.targets: dict[str, engines.SimTarget] = {}
+        self.runs: list[engines.Run] = []
         self.runs_by_request: collections.Counter[str] = collections.Counter()
-        self.on_run: list[collections.abc.Callable[[Run], None]] = []
+        self.on_run: list[collections.abc.Callable[[engines.Run], None]] = []
         self.faulty: dict[str, str] = {}
         self.parsers: dict[str, typing.Any] = {}
-        self.exchanges: dict[str, dict[int, Exchange]] = {}
+        self.exchanges: dict[str, dict[int, exchanges.Exchange]] = {}
         self._calls = itertools.count(1)
         self._slots = slots
         self._addresses: dict[str, str] = {}
@@ -264,9 +84,17 @@
             self._add(name, name.split('-')[1])
         for domain in self.domains:
             for number in range(1, chat_per_domain + 1):
-                self._add_agent(f'{CHAT}-{domain}-{number}', CHAT, domain)
+                self._add_agent(
+                    f'{declarations_module.CHAT}-{domain}-{number}',
+                    declarations_module.CHAT,
+                    domain,
+                )
             for number in range(1, plain_per_domain + 1):
-                self._add_agent(f'{PLAIN}-{domain}-{number}', PLAIN, domain)
+                self._add_agent(
+                    f'{declarations_module.PLAIN}-{domain}-{number}',
+                    declarations_module.PLAIN,
+                    domain,
+                )
 
     def _add(self, name: str, domain: str) -> None:
         self.nodes[name] = network_module.Node(self.world, name, domain)
@@ -276,7 +104,7 @@
         self._add(name, domain)
         self.agents.append(name)
         self._services[name] = service
-        self.targets[name] = SimTarget(self, name)
+        self.targets[name] = engines.SimTarget(self, name)
 
     def start_all(self) -> None:
         """Start every process and wait for the configuration."""
@@ -425,9 +253,9 @@
 
         self.world.schedule(restart_s, restart)
 
-    def note_run(self, target: SimTarget, start: wire.Start) -> None:
+    def note_run(self, target: engines.SimTarget, start: wire.Start) -> None:
         """Take note that a request runs on a target."""
-        run = Run(
+        run = engines.Run(
             request_id=start.request_id,
             target=target.name,
             at=self.world.now,
@@ -474,9 +302,9 @@
         path: str,
         body: bytes,
         key: str = '',
-        account: str = KEYS[0],
+        account: str = declarations_module.KEYS[0],
         method: str = 'POST',
-    ) -> Exchange:
+    ) -> exchanges.Exchange:
         """Send a request through an entry instance.
 
         :returns: what the caller hears
@@ -511,7 +339,7 @@
         process: entry_module.Entry,
         request: callers_state.Request,
         account: str,
-        exchange: Exchange,
+        exchange: exchanges.Exchange,
     ) -> None:
         if exchange.end is not None:
             # The caller was gone before the request was read.
@@ -540,10 +368,10 @@
         exchange.on_end = end
         process.submit(call, exchange)
 
-    def go_away(self, exchange: Exchange) -> None:
+    def go_away(self, exchange: exchanges.Exchange) -> None:
         """Let a caller go away in the middle."""
-        for name, exchanges in self.exchanges.items():
-            for number, known in exchanges.items():
+        for name, calls in self.exchanges.items():
+            for number, known in calls.items():
                 if known is exchange:
                     self.nodes[name].process.cancel(number)
                     exchange.fail('caller_gone', wire.Outcome.UNKNOWN)
@@ -633,50 +461,3 @@
                 self.start(name)
         for target in self.targets.values():
             target.is_alive = True
-
-
-def make_edit(content: dict, expected: int) -> configuration.Edit:
-    """Return the edit that a declaration asks for."""
-    return configuration.Edit(
-        kind=content['kind'],
-        name=content['name'],
-        expected=expected,
-        content=json.dumps(content).encode(),
-    )
-
-
-def make_declarations() -> list[configuration.Edit]:
-    """Return the first configuration."""
-    services = [
-        {
-            'kind': 'service',
-            'name': CHAT,
-            'schema': 1,
-            'protocol': 'chat',
-            'end_within_s': 30,
-            'start_within_s': 5,
-        },
-        {
-            'kind': 'service',
-            'name': PLAIN,
-            'schema': 1,
-            'protocol': 'http',
-            'end_within_s': 15,
-            'start_within_s': 5,
-        },
-    ]
-    accounts = [
-        {
-            'kind': 'client_account',
-            'name': f'account-{index}',
-            'schema': 2,
-            'keys': [{'digest': settings.compute_digest(key)}],
-            'limits': {
-                'in_flight': 1000,
-                'requests_per_s': 1000,
-                'burst': 1000,
-            },
-        }
-        for index, key in enumerate(KEYS, 1)
-    ]
-    return [make_edit(content, 0) for content in services + accounts]
--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -11,7 +11,7 @@
 from bambooring.configuration import messages
 from bambooring.configuration import records
 from bambooring_core import settings
-from proofs import cluster as cluster_module
+from proofs import declarations
 from proofs import scenario
 from proofs import world as world_module
 
@@ -154,7 +154,7 @@
             content |= {'schema': 1, 'key_digest': digest}
         else:
             content |= {'schema': 2, 'keys': [{'digest': digest}]}
-        return cluster_module.make_edit(content, number)
+        return declarations.make_edit(content, number)
 
     def send(self, order: Order, sends: int) -> None:
         """Send a change to some replica; again after a lost answer."""
--- /dev/null
+++ b/proofs/declarations.py
@@ -0,0 +1,57 @@
+"""Declare the services and client accounts of the simulated cluster."""
+
+import json
+
+from bambooring.configuration import messages as configuration
+from bambooring_core import settings
+
+CHAT = 'rota-llm'
+PLAIN = 'rota-app'
+KEYS = ('key-of-account-one', 'key-of-account-two')
+
+
+def make_edit(content: dict, expected: int) -> configuration.Edit:
+    """Return the edit that a declaration asks for."""
+    return configuration.Edit(
+        kind=content['kind'],
+        name=content['name'],
+        expected=expected,
+        content=json.dumps(content).encode(),
+    )
+
+
+def make_declarations() -> list[configuration.Edit]:
+    """Return the first configuration."""
+    services = [
+        {
+            'kind': 'service',
+            'name': CHAT,
+            'schema': 1,
+            'protocol': 'chat',
+            'end_within_s': 30,
+            'start_within_s': 5,
+        },
+        {
+            'kind': 'service',
+            'name': PLAIN,
+            'schema': 1,
+            'protocol': 'http',
+            'end_within_s': 15,
+            'start_within_s': 5,
+        },
+    ]
+    accounts = [
+        {
+            'kind': 'client_account',
+            'name': f'account-{index}',
+            'schema': 2,
+            'keys': [{'digest': settings.compute_digest(key)}],
+            'limits': {
+                'in_flight': 1000,
+                'requests_per_s': 1000,
+                'burst': 1000,
+            },
+        }
+        for index, key in enumerate(KEYS, 1)
+    ]
+    return [make_edit(content, 0) for content in services + accounts]
--- a/proofs/leaving.py
+++ b/proofs/leaving.py
@@ -8,6 +8,9 @@
 import json
 
 from proofs import cluster as cluster_module
+from proofs import declarations
+from proofs import engines
+from proofs import exchanges
 from proofs import scenario
 from proofs import world as world_module
 
@@ -27,7 +30,7 @@
         super().__init__(world)
         self.left_at: dict[str, float] = {}
         self.left_run: dict[str, int] = {}
-        self.kept: dict[str, cluster_module.Exchange] = {}
+        self.kept: dict[str, exchanges.Exchange] = {}
         self.protected: set[str] = set()
         self.cluster.on_run.append(self.check_run)
 
@@ -119,17 +122,17 @@
         entry = self.world.rng.choice(entries)
         if self.world.rng.random() < 0.7:
             message = {'role': 'user', 'content': f'ask {number}'}
-            body = {'model': cluster_module.CHAT, 'messages': [message]}
+            body = {'model': declarations.CHAT, 'messages': [message]}
             path = '/v1/chat/completions'
         else:
             body = {'slot': number}
-            path = f'/services/{cluster_module.PLAIN}/slots'
+            path = f'/services/{declarations.PLAIN}/slots'
         exchange = self.cluster.send(
             entry, path=path, body=json.dumps(body).encode()
         )
         self.kept[exchange.request_id] = exchange
 
-    def check_run(self, run: cluster_module.Run) -> None:
+    def check_run(self, run: engines.Run) -> None:
         """Check that no run begins long after its target began to leave."""
         self.world.facts['runs'] += 1
         left_at = self.left_at.get(run.target)
@@ -147,7 +150,7 @@
         """Require that everything that began ended whole."""
         for run in self.cluster.runs:
             exchange = self.kept[run.request_id]
-            expected = b''.join(cluster_module.make_answer('', exchange.body))
+            expected = b''.join(engines.make_answer('', exchange.body))
             self.world.check(
                 exchange.is_whole and exchange.text == expected,
                 f'{run.request_id} began on {run.target} and ended as'
--- a/proofs/poison.py
+++ b/proofs/poison.py
@@ -7,6 +7,9 @@
 import json
 
 from proofs import cluster as cluster_module
+from proofs import declarations
+from proofs import engines
+from proofs import exchanges
 from proofs import scenario
 from proofs import world as world_module
 
@@ -26,7 +29,7 @@
 
     def __init__(self, world: world_module.World) -> None:
         super().__init__(world)
-        self.innocent: list[cluster_module.Exchange] = []
+        self.innocent: list[exchanges.Exchange] = []
         self.crashed: dict[str, set[str]] = {}
         self.poisons = 0
         self.cluster.on_run.append(self.note_run)
@@ -43,7 +46,7 @@
     def make_body(self, text: str) -> bytes:
         """Make a chat request."""
         message = {'role': 'user', 'content': text}
-        body = {'model': cluster_module.CHAT, 'messages': [message]}
+        body = {'model': declarations.CHAT, 'messages': [message]}
         return json.dumps(body).encode()
 
     def work(self) -> None:
@@ -58,7 +61,7 @@
             return
         self.world.schedule(POISON_S, self.poison)
         self.poisons += 1
-        text = f'{cluster_module.CRASH_MARK} {self.poisons}'
+        text = f'{engines.CRASH_MARK} {self.poisons}'
         self.world.fault('poison', text)
         self.crashed[text] = set()
         self.send_poison(text, RESENDS)
@@ -80,7 +83,7 @@
         if exchange is not None:
             scenario.hear_end(exchange, hear)
 
-    def note_run(self, run: cluster_module.Run) -> None:
+    def note_run(self, run: engines.Run) -> None:
         """Count the targets that a poisonous request reached."""
         body = json.loads(run.body)
         text = body['messages'][0]['content']
--- a/proofs/refusals.py
+++ b/proofs/refusals.py
@@ -7,6 +7,8 @@
 import json
 
 from proofs import cluster as cluster_module
+from proofs import declarations
+from proofs import exchanges
 from proofs import scenario
 from proofs import world as world_module
 
@@ -41,23 +43,23 @@
         if exchange is not None:
             scenario.hear_end(exchange, lambda: self.hear(exchange))
 
-    def send(self, kind: str) -> cluster_module.Exchange | None:
+    def send(self, kind: str) -> exchanges.Exchange | None:
         """Send one request."""
         if kind == 'chat':
             message = {'role': 'user', 'content': f'ask {self.sent}'}
-            body = {'model': cluster_module.CHAT, 'messages': [message]}
+            body = {'model': declarations.CHAT, 'messages': [message]}
             return self.send_chat(json.dumps(body).encode())
         live = self.cluster.get_live_entries()
         if not live:
             return None
         return self.cluster.send(
             self.world.rng.choice(live),
-            path=f'/services/{cluster_module.PLAIN}/slots',
+            path=f'/services/{declarations.PLAIN}/slots',
             body=json.dumps({'slot': self.sent}).encode(),
             key=f'slot-{self.sent}' if kind == 'keyed' else '',
         )
 
-    def hear(self, exchange: cluster_module.Exchange) -> None:
+    def hear(self, exchange: exchanges.Exchange) -> None:
         """Remember a refusal and check it against the runs so far."""
         if scenario.is_not_run(exchange):
             self.world.facts['refused'] += 1
--- a/proofs/scenario.py
+++ b/proofs/scenario.py
@@ -5,6 +5,7 @@
 from bambooring.dispatch import messages as dispatch
 from bambooring_core.dispatch import messages as wire
 from proofs import cluster as cluster_module
+from proofs import exchanges
 from proofs import world as world_module
 
 Fault = collections.abc.Callable[[], None]
@@ -75,7 +76,7 @@
         for _ in range(rng.choice((1, 1, 2))):
             rng.choice(self.get_faults())()
 
-    def send_chat(self, body: bytes) -> cluster_module.Exchange | None:
+    def send_chat(self, body: bytes) -> exchanges.Exchange | None:
         """Send a chat request through some entry instance."""
         live = self.cluster.get_live_entries()
         if not live:
@@ -87,7 +88,7 @@
         )
 
 
-def hear_end(exchange: cluster_module.Exchange, hear: Fault) -> None:
+def hear_end(exchange: exchanges.Exchange, hear: Fault) -> None:
     """Call a function once an exchange has ended."""
     if exchange.end is not None:
         hear()
@@ -101,7 +102,7 @@
     exchange.on_end = end
 
 
-def is_not_run(exchange: cluster_module.Exchange) -> bool:
+def is_not_run(exchange: exchanges.Exchange) -> bool:
     """Tell whether an exchange was refused as not run."""
     return (
         isinstance(exchange.end, dispatch.Failure)
