--- a/soak/callers.py
+++ b/soak/callers.py
@@ -65,6 +65,9 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._channel: http.client.HTTPConnection | None = None
         self._door = doors[0]
+        # Whether the connection was kept, and whether it is still to open.
+        self._was_idle = False
+        self._is_new = True
 
     def __enter__(self) -> typing.Self:
         self._thread.start()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -96,7 +96,8 @@
         self.left_s: dict[str, float] = {}
         self.stops: list[Stop] = []
         self.disturbed: list[tuple[float, float]] = []
-        self.crashes: list[str] = []
+        # What went wrong with processes and operators' calls.
+        self.failures: list[str] = []
 
     def add_sent(self, sent: Sent) -> None:
         """Record a request before it is sent."""
@@ -122,7 +123,7 @@
             yield from _check_request(one, by_attempt[one.attempt])
         yield from self._check_reads()
         yield from self._check_stops(sent.values(), by_attempt)
-        yield from (f'ended by itself: {name}' for name in self.crashes)
+        yield from self.failures
 
     def _check_run(
         self, run: Run, sent: Sent | None
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -98,7 +98,7 @@
                 held.confirmed_s = time.monotonic()
                 return True
             if 400 <= status < 500:
-                self._ledger.crashes.append(
+                self._ledger.failures.append(
                     f'proper version {self._version} refused with {status}'
                 )
                 return False
@@ -116,11 +116,10 @@
             return False
         if answer.status != 200:
             return False
-        content = answer.content  # type: ignore[attr-defined]
         self._ledger.reads.append(
             ledger_module.Read(
-                version=json.loads(content)['version'],
-                content=content.decode(),
+                version=json.loads(answer.body)['version'],
+                content=answer.body.decode(),
                 asked_s=asked_s,
                 replica=control,
             )
@@ -134,4 +133,4 @@
             if self.read():
                 return
             time.sleep(0.2)
-        self._ledger.crashes.append('policy not readable at the end')
+        self._ledger.failures.append('policy not readable at the end')
--- a/soak/site.py
+++ b/soak/site.py
@@ -28,8 +28,6 @@
 _REAL, _TOLD = 1, 2
 _READY_TIMEOUT_S = 20.0
 _POLL_S = 0.1
-# How the process ends when it is told to, and when it is killed.
-_EXPECTED_ENDS = frozenset((0, -signal.SIGKILL))
 
 
 class SoakError(Exception):
@@ -232,11 +230,11 @@
         try:
             code = process.handle.wait(STOP_S + 1)
         except subprocess.TimeoutExpired:
-            self.ledger.crashes.append(f'{process.name} did not stop')
+            self.ledger.failures.append(f'{process.name} did not stop')
             self.kill(process)
             return False
         if code != 0:
-            self.ledger.crashes.append(f'{process.name} stopped with {code}')
+            self.ledger.failures.append(f'{process.name} stopped with {code}')
         return True
 
     def wipe(self, process: Process) -> None:
@@ -255,7 +253,9 @@
                 continue
             code = handle.poll()
             if code is not None:
-                self.ledger.crashes.append(f'{process.name} with {code}')
+                self.ledger.failures.append(
+                    f'{process.name} ended by itself with {code}'
+                )
                 self.start(process)
 
     def _end_processes(self) -> None:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -1,6 +1,7 @@
 """Stand in for targets that announce themselves and run requests."""
 
 import contextlib
+import dataclasses
 import hashlib
 import http.client
 import http.server
@@ -213,15 +214,29 @@
         handler.wfile.write(b'0\r\n\r\n')
 
 
-def call(
-    address: str, method: str, path: str, body: bytes = b''
-) -> http.client.HTTPResponse:
-    """Make one call on a connection of its own; the body is read."""
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Answer:
+    """Hold a whole answer to a call."""
+
+    status: int
+    body: bytes
+
+
+def call(address: str, method: str, path: str, body: bytes = b'') -> Answer:
+    """Make one call on a connection of its own.
+
+    :param address: 'IP:PORT'
+    :param method: the HTTP method
+    :param path: the path
+    :param body: the body
+    :returns: the answer
+    :raises OSError: if no connection comes about, or it breaks
+    :raises HTTPException: if what comes is no whole answer
+    """
     channel = http.client.HTTPConnection(address, timeout=_CALL_TIMEOUT_S)
     with contextlib.closing(channel):
         channel.request(
             method, path, body, {'Content-Type': 'application/json'}
         )
-        answer = channel.getresponse()
-        answer.content = answer.read()  # type: ignore[attr-defined]
-        return answer
+        response = channel.getresponse()
+        return Answer(status=response.status, body=response.read())
