--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,6 +51,7 @@
         requests = len(site.ledger.sent)
         served = sum(one.status == 200 for one in site.ledger.sent.values())
     (folder / 'story').write_text('\n'.join(faults.story) + '\n')
+    (folder / 'events').write_text('\n'.join(site.events) + '\n')
     report = {
         'seed': seed,
         'faults': len(faults.story),
--- a/soak/site.py
+++ b/soak/site.py
@@ -68,6 +68,8 @@
         self._entries, self._controls = entries, 3
         self._target_count, self._caller_count = targets, callers
         self.processes: dict[str, Process] = {}
+        # Each start and end of a process, with the time.
+        self.events: list[str] = []
         self.relays: dict[str, relay_module.Relay] = {}
         self.targets: list[targets_module.Target] = []
         self._stack = contextlib.ExitStack()
@@ -209,11 +211,16 @@
                 env=environment,
                 cwd=ROOT,
             )
+        self._note(f'start {process.name} as {process.handle.pid}')
+
+    def _note(self, event: str) -> None:
+        self.events.append(f'{time.monotonic():.2f} {event}')
 
     def signal(self, process: Process, number: signal.Signals) -> None:
         """Send a signal to a process that still runs."""
         if process.handle is not None and process.handle.poll() is None:
             process.handle.send_signal(number)
+            self._note(f'{number.name} to {process.handle.pid}')
 
     def kill(self, process: Process) -> None:
         """End a process at once."""
@@ -253,6 +260,7 @@
                 continue
             code = handle.poll()
             if code is not None:
+                self._note(f'{handle.pid} ended with {code}')
                 self.ledger.failures.append(
                     f'{process.name} ended by itself with {code}'
                 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -191,7 +191,9 @@
 
 # Seeds that are played at each change; those that failed once stay here
 # with a line on the cause.
-SEEDS = (1,)
+# 146: a reload while a process loads its modules ended it; another end of the
+# same run is open (docs/PROOFS.md).
+SEEDS = (1, 146)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
