Exchange load between failure domains through relays

Ruled out: rotating forwarders without sums (bytes between domains fall, but each instance still receives each report); a relay that also merges the other domains' sums (a takeover loses the parts).

Change: reports go to the own failure domain only. The living instance with the lowest address sums them up each 50 ms and sends the sum to one instance of each other domain, alternately its relay and each member in turn; absolute counts, each change in four summaries, a full one each second. Up to 32 instances report directly as before. Datagrams bear a keyed hash; forged, truncated, oversized, repeated and foreign ones are counted by reason.

Tests: a simulated fleet of 100 instances in five domains with relays that die, freeze, return, exist twice and are cut off one way; datagrams fuzzed.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -2,9 +2,6 @@
 
 import typing
 
-# A peer's load report is ignored once it is older than this.
-PEER_LOAD_TTL_S: typing.Final = 1.5
-
 # Load reports are sent no more often than the minimum interval. While any
 # request runs or waits here, one is sent at least every maximum interval.
 LOAD_REPORT_MIN_INTERVAL_S: typing.Final = 0.01
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -2,7 +2,7 @@
 
 The load of a target is the number of requests that all entry instances have
 running there: this instance counts its own, the others report theirs in
-datagrams. The ranks of a model group run in lock-step, so a rank with more
+datagrams (``bambooring.loads``). The ranks of a model group run in lock-step, so a rank with more
 requests than the others slows all of them down. Targets are therefore
 compared by running requests per slot first; ties are broken by the tokens of
 these requests.
@@ -15,7 +15,8 @@
 from bambooring.balancing import const
 from bambooring.balancing import groups as groups_module
 from bambooring.balancing import limit as limit_module
-from bambooring.balancing import peers as peers_module
+from bambooring.loads import peers as peers_module
+from bambooring.loads import state as loads_state
 from bambooring.targets import messages as targets
 
 
@@ -76,7 +77,7 @@
         self._targets_by_service: dict[str, dict[str, targets.Target]] = {}
         self._own_loads: dict[str, peers_module.RunningLoad] = {}
         self._health_by_target: dict[str, _TargetHealth] = {}
-        self._peer_loads = peers_module.PeerLoads()
+        self.loads = loads_state.ClusterLoads()
         self._limits_by_service: dict[str, limit_module.ConcurrencyLimit] = {}
         self._consecutive_refusals: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
@@ -115,7 +116,7 @@
         :param now_s: the current time in seconds
         :param excluded_ids: the ids of targets that already had the request
         """
-        self._peer_loads.expire_reports(now_s)
+        self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
         if self._is_backing_off(service, now_s):
             return None
@@ -135,9 +136,7 @@
             target=best,
             running=self.count_running(best.id),
             candidate_count=len(candidates),
-            oldest_report_age_s=self._peer_loads.get_oldest_report_age_s(
-                now_s
-            ),
+            oldest_report_age_s=self.loads.get_oldest_age_s(now_s),
         )
 
     def _list_candidates(
@@ -230,13 +229,7 @@
         """
         for service, limit in self._limits_by_service.items():
             limit.close_interval()
-            gaps_s = [
-                service_load.gap_ms / 1000
-                for service_load in self._peer_loads.list_service_loads(
-                    service
-                )
-            ]
-            gaps_s.append(limit.mean_gap_s)
+            gaps_s = [*self.loads.list_gaps_s(service), limit.mean_gap_s]
             service_targets = self._targets_by_service.get(
                 service, {}
             ).values()
@@ -265,12 +258,12 @@
     def count_running(self, target_id: str) -> int:
         """Return how many requests all instances have running at a target."""
         own_load = self._own_loads.get(target_id)
-        count = self._peer_loads.get_load(target_id).running
+        count = self.loads.get_load(target_id).running
         return count + own_load.running if own_load else count
 
     def _count_tokens(self, target_id: str) -> int:
         own_load = self._own_loads.get(target_id)
-        count = self._peer_loads.get_load(target_id).tokens
+        count = self.loads.get_load(target_id).tokens
         return count + own_load.tokens if own_load else count
 
     def get_capacity(self, service: str, now_s: float) -> ServiceCapacity:
@@ -292,12 +285,7 @@
                 self.count_running(usable_target.id)
                 for usable_target in usable
             ),
-            waiting_elsewhere=sum(
-                service_load.waiting
-                for service_load in self._peer_loads.list_service_loads(
-                    service
-                )
-            ),
+            waiting_elsewhere=self.loads.count_waiting(service),
         )
 
     def add_request(self, target_id: str, tokens: int) -> None:
@@ -408,13 +396,6 @@
         health.ejected_until_s = now_s + ejection_s
         return ejection_s
 
-    def add_peer_report(self, load: targets.Load, now_s: float) -> None:
-        """Store another instance's load report.
-
-        It is ignored if a newer one of the same instance came first.
-        """
-        self._peer_loads.add_report(load, now_s)
-
     @property
     def has_running_requests(self) -> bool:
         """Return whether this instance has any request at a target."""
--- a/packages/bambooring/src/bambooring/balancing/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_state.py
@@ -7,6 +7,7 @@
 
 from bambooring.balancing import const
 from bambooring.balancing import state
+from bambooring.loads import const as loads_const
 from bambooring.targets import messages
 
 
@@ -61,11 +62,11 @@
     peer.add_request('1', 10)
     outdated = peer.make_load_report('other', 7, {})
     peer.add_request('1', 10)
-    balancer.add_peer_report(peer.make_load_report('other', 7, {}), 0.0)
-    balancer.add_peer_report(outdated, 0.1)
+    balancer.loads.add_report(peer.make_load_report('other', 7, {}), 0.0)
+    balancer.loads.add_report(outdated, 0.1)
     assert balancer.count_running('1') == 2
     assert _choose(balancer, 0.1) == '2'
-    expired_s = 0.2 + const.PEER_LOAD_TTL_S
+    expired_s = 0.2 + loads_const.PEER_LOAD_TTL_S
     balancer.choose('llm', expired_s)
     assert balancer.count_running('1') == 0
 
@@ -77,9 +78,9 @@
     peer.add_request('1', 10)
     for _ in range(5):
         load = peer.make_load_report('other', 7, {})
-    balancer.add_peer_report(load, 0.0)
+    balancer.loads.add_report(load, 0.0)
     restarted_peer = _make_balancer(2)
-    balancer.add_peer_report(
+    balancer.loads.add_report(
         restarted_peer.make_load_report('other', 8, {}), 0.1
     )
     assert balancer.count_running('1') == 0
--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -46,6 +46,3 @@
 # Share of the permitted retries that all entry instances together may use.
 # It is below 1 because each instance counts its retries by itself.
 RETRY_BUDGET_SHARE: typing.Final = 0.5
-
-MAX_LOAD_DATAGRAM_BYTES: typing.Final = 60000
-READY_BODY_BYTES: typing.Final = 1024
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -224,7 +224,7 @@
         members = replica.get_committed_members() if replica else {}
         controls = set(members.values()) | {self._identity.address}
         entries = {
-            link.peer.address
+            link.peer.address: link.peer.failure_domain
             for link in self._hub.get_links(core_const.ROLE_ENTRY)
             if link.peer is not None
         }
@@ -233,7 +233,9 @@
             self._replicator.is_leader, sorted(controls)
         )
         topology = targets.Topology(
-            entries=sorted(entries), controls=sorted(controls)
+            entries=sorted(entries),
+            controls=sorted(controls),
+            entry_domains=[entries[address] for address in sorted(entries)],
         )
         if topology == self._topology:
             return
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -1,8 +1,7 @@
 """Run an entry instance that sends requests to targets itself."""
 
+import collections.abc
 import random
-import selectors
-import socket
 import typing
 
 import structlog
@@ -13,6 +12,8 @@
 from bambooring.forwarding import task as forwarding
 from bambooring.gateway import const
 from bambooring.gateway import messages as gateway
+from bambooring.loads import exchange as exchange_module
+from bambooring.loads import task as loads_task
 from bambooring import metrics
 from bambooring.policy import errors as policy_errors
 from bambooring.policy import lease as lease_module
@@ -22,9 +23,7 @@
 from bambooring.targets import messages as targets
 from bambooring.targets import state as targets_state
 from bambooring_core import clock as clock_module
-from bambooring_core import codec
 from bambooring_core import const as core_const
-from bambooring_core import errors as core_errors
 from bambooring_core.http1 import const as http1_const
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as http1_server
@@ -74,7 +73,25 @@
             lease_clock=self._lease_clock,
             budget=self._budget,
             rng=rng,
-            schedule_load_report=self._schedule_load_report,
+            schedule_load_report=lambda delay_s: (
+                self._load_reporter.schedule_report(delay_s)
+            ),
+        )
+        self._load_reporter = loads_task.LoadReporter(
+            reactor=reactor,
+            boot_clock=self._lease_clock,
+            exchange=exchange_module.LoadExchange(
+                loads=self._balancer.loads,
+                own_address=settings.link_address,
+                failure_domain=settings.failure_domain,
+                incarnation=incarnation,
+                boot_now_s=self._lease_clock.now(),
+            ),
+            address=settings.link_address,
+            key=settings.link_key,
+            make_report=self._make_load_report,
+            is_busy=self._is_busy,
+            handle_news=self._handle_load_news,
         )
         identity = identity_module.Identity(
             cluster=settings.cluster,
@@ -91,9 +108,8 @@
             handler=self,
         )
         self._topologies: dict[links.Link, targets.Topology] = {}
-        self._peer_addresses: list[tuple[str, int]] = []
-        self._load_report_timer: reactor_module.Timer | None = None
-        self._load_report_sent_s = 0.0
+        # The failure domain of each other entry instance, by link address.
+        self._peer_domains: dict[str, str] = {}
         self._logged_limits: dict[str, float] = {}
         self._is_stopping = False
         self._was_ready = False
@@ -104,7 +120,6 @@
         self._ready_server = self._make_server(
             settings.ready_address, self._respond_to_ready
         )
-        self._load_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
     def _make_server(
         self, address: str, handle: http1_server.RequestHandler
@@ -128,7 +143,7 @@
             self._hub,
             self._ready_server,
             self._caller_server,
-            self._load_socket,
+            self._load_reporter,
         ):
             self.set_up()
             LOG.info(
@@ -140,23 +155,13 @@
         LOG.info('entry instance ends')
 
     def set_up(self) -> None:
-        """Open the socket for load reports, connect and start the timers."""
-        self._load_socket.setblocking(False)
-        self._load_socket.bind(
-            links.split_address(self._settings.link_address)
-        )
-        self._reactor.watch(
-            self._load_socket, selectors.EVENT_READ, self._receive_load_reports
-        )
+        """Start to report load, connect and start the timers."""
+        self._load_reporter.set_up()
         self.connect_seeds(self._settings.seeds)
         self._reactor.call_every(
             const.LEASE_REQUEST_INTERVAL_S, self._request_lease
         )
         self._reactor.call_every(const.EXPIRY_INTERVAL_S, self._expire_targets)
-        self._reactor.call_every(
-            balancing_const.LOAD_REPORT_MAX_INTERVAL_S,
-            self._repeat_load_report,
-        )
         self._reactor.call_every(
             balancing_const.LIMIT_ADJUST_INTERVAL_S, self._adjust_limits
         )
@@ -338,15 +343,16 @@
         instance's share of the retries, and the control replicas to link to.
         """
         self._topologies[link] = topology
-        entries: set[str] = set()
+        entries: dict[str, str] = {}
         controls = set(self._settings.seeds)
         for replica_topology in self._topologies.values():
-            entries.update(replica_topology.entries)
+            for address, domain in _list_entries(replica_topology):
+                entries[address] = domain or entries.get(address, '')
             controls.update(replica_topology.controls)
-        entries.discard(self._settings.link_address)
-        self._peer_addresses = [
-            links.split_address(peer) for peer in sorted(entries)
-        ]
+        entries.pop(self._settings.link_address, None)
+        if entries != self._peer_domains:
+            self._peer_domains = entries
+            self._load_reporter.set_instances(entries)
         self._set_retry_budget(len(entries) + 1)
         linked = {
             peer.dialled_address
@@ -372,25 +378,6 @@
             capacity=max(2.0, slack),
         )
 
-    def _schedule_load_report(self, delay_s: float) -> None:
-        """Schedule one load report for all changes until it is sent.
-
-        :param delay_s: how long the report may wait for further changes
-        """
-        now_s = self._reactor.now()
-        due_s = (
-            self._load_report_sent_s
-            + balancing_const.LOAD_REPORT_MIN_INTERVAL_S
-        )
-        due_s = max(due_s, now_s + delay_s)
-        if self._load_report_timer is not None:
-            if self._load_report_timer.due_s <= due_s:
-                return
-            self._load_report_timer.cancel()
-        self._load_report_timer = self._reactor.call_later(
-            due_s - now_s, self._send_load_report
-        )
-
     def _adjust_limits(self) -> None:
         limits = self._balancer.adjust_limits()
         if limits != self._logged_limits:
@@ -403,58 +390,22 @@
             self._logged_limits = limits
         self.forwarder.dispatch_queued()
 
-    def _repeat_load_report(self) -> None:
-        elapsed_s = self._reactor.now() - self._load_report_sent_s
-        is_busy = (
-            self._balancer.has_running_requests or self.forwarder.pending_count
-        )
-        if is_busy and elapsed_s >= balancing_const.LOAD_REPORT_MAX_INTERVAL_S:
-            self._send_load_report()
-
-    def _send_load_report(self) -> None:
-        if self._load_report_timer is not None:
-            self._load_report_timer.cancel()
-            self._load_report_timer = None
-        self._load_report_sent_s = self._reactor.now()
-        load = self._balancer.make_load_report(
-            self._settings.instance,
+    def _make_load_report(self) -> targets.Load:
+        return self._balancer.make_load_report(
+            self._settings.link_address,
             self._incarnation,
             self.forwarder.count_queued(),
         )
-        data = codec.pack(load)
-        for peer in self._peer_addresses:
-            try:
-                self._load_socket.sendto(data, peer)
-            except OSError as error:
-                metrics.UNSENT_LOAD_REPORTS.labels(
-                    reason=str(error.errno)
-                ).inc()
-
-    def _receive_load_reports(self, events: int) -> None:
-        changed = False
-        while True:
-            try:
-                data = self._load_socket.recv(const.MAX_LOAD_DATAGRAM_BYTES)
-            except BlockingIOError:
-                break
-            except OSError as error:
-                LOG.warning('load report not received', error=str(error))
-                break
-            changed = self._apply_load_report(data) or changed
-        if changed and self.forwarder.count_queued():
-            self.forwarder.dispatch_queued()
 
-    def _apply_load_report(self, data: bytes) -> bool:
-        try:
-            message = codec.unpack(data)
-        except core_errors.FrameError as error:
-            LOG.warning('datagram ignored', error=str(error))
-            return False
-        if not isinstance(message, targets.Load):
-            LOG.warning('datagram ignored', kind=type(message).__name__)
-            return False
-        self._balancer.add_peer_report(message, self._reactor.now())
-        return True
+    def _is_busy(self) -> bool:
+        return (
+            self._balancer.has_running_requests
+            or self.forwarder.pending_count > 0
+        )
+
+    def _handle_load_news(self) -> None:
+        if self.forwarder.count_queued():
+            self.forwarder.dispatch_queued()
 
     def leave(self) -> None:
         """Stop once no connection is open; callable from any thread.
@@ -492,6 +443,17 @@
         self._reactor.call_soon(self._reactor.stop)
 
 
+def _list_entries(
+    topology: targets.Topology,
+) -> collections.abc.Iterator[tuple[str, str]]:
+    """Yield the address and the failure domain of each entry instance.
+
+    The domain is '' if the topology comes from an older replica.
+    """
+    domains = topology.entry_domains or [''] * len(topology.entries)
+    yield from zip(topology.entries, domains)
+
+
 def _count_unreadable(reason: str) -> None:
     metrics.REFUSALS.labels(reason=reason, outcome='unread').inc()
     LOG.info('request unreadable', reason=reason)
--- /dev/null
+++ b/packages/bambooring/src/bambooring/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange the load of targets between the entry instances."""
--- /dev/null
+++ b/packages/bambooring/src/bambooring/loads/const.py
@@ -0,0 +1,29 @@
+"""Define the intervals and limits of the exchange of load."""
+
+import typing
+
+# A peer's load report is ignored once it is older than this.
+PEER_LOAD_TTL_S: typing.Final = 1.5
+
+# Up to this many entry instances report to each other directly, which is the
+# fastest way. Beyond it the reports of another failure domain come summed up.
+MAX_DIRECT_INSTANCES: typing.Final = 32
+
+# How often a relay sends the sum of its failure domain.
+RELAY_INTERVAL_S: typing.Final = 0.05
+
+# A relay that is silent for this long is replaced by the next instance.
+RELAY_TIMEOUT_S: typing.Final = 2.5 * RELAY_INTERVAL_S
+
+# How long an instance collects reports before it may act as the relay: each
+# busy instance reports at least this often.
+RELAY_WARM_UP_S: typing.Final = 0.6
+
+# In each of this many summaries in a row a changed target is listed, so that
+# the loss of some of them does no harm.
+CHANGE_REPEATS: typing.Final = 4
+# Every n-th summary is a full one, and so are the first ones of a relay.
+FULL_SUMMARY_EVERY: typing.Final = 20
+FIRST_FULL_SUMMARIES: typing.Final = 3
+
+MAX_CACHED_KEYS: typing.Final = 8192
--- a/packages/bambooring/src/bambooring/balancing/peers.py
+++ b/packages/bambooring/src/bambooring/loads/peers.py
@@ -7,7 +7,7 @@
 import collections.abc
 import dataclasses
 
-from bambooring.balancing import const
+from bambooring.loads import const
 from bambooring.targets import messages as targets
 
 
@@ -47,13 +47,16 @@
         # Lower bound of the time at which any kept report was received.
         self._oldest_received_s = float('inf')
 
-    def add_report(self, load: targets.Load, now_s: float) -> None:
-        """Store a report, unless a newer one of its sender came first."""
+    def add_report(self, load: targets.Load, now_s: float) -> bool:
+        """Store a report.
+
+        :returns: False if one as new or newer of its sender came first
+        """
         previous = self._reports.get(load.sender)
         if previous is not None:
             previous_key = (previous.incarnation, previous.sequence)
             if (load.incarnation, load.sequence) <= previous_key:
-                return
+                return False
             self._subtract_report(previous)
         self._reports[load.sender] = _PeerReport(
             incarnation=load.incarnation,
@@ -67,15 +70,25 @@
             total = self._totals.setdefault(entry.target, RunningLoad())
             total.running += entry.running
             total.tokens += entry.tokens
+        return True
 
     def _subtract_report(self, report: _PeerReport) -> None:
         for target_load in report.target_loads:
-            total = self._totals[target_load.target]
+            total = self._totals.get(target_load.target)
+            if total is None:
+                continue
             total.running -= target_load.running
             total.tokens -= target_load.tokens
             if not total.running and not total.tokens:
                 del self._totals[target_load.target]
 
+    def drop_reports(self, senders: collections.abc.Iterable[str]) -> None:
+        """Drop the reports of some instances."""
+        for sender in senders:
+            report = self._reports.pop(sender, None)
+            if report is not None:
+                self._subtract_report(report)
+
     def expire_reports(self, now_s: float) -> None:
         """Drop the reports that are older than their TTL."""
         expired_before_s = now_s - const.PEER_LOAD_TTL_S
@@ -99,6 +112,20 @@
         ages = (now_s - report.received_s for report in self._reports.values())
         return max(ages, default=0.0)
 
+    def list_totals(
+        self,
+    ) -> collections.abc.Iterator[tuple[str, RunningLoad]]:
+        """Yield each target with load and its load."""
+        yield from self._totals.items()
+
+    def list_services(self) -> set[str]:
+        """Return the services of which any other instance reports."""
+        return {
+            service
+            for report in self._reports.values()
+            for service in report.service_loads
+        }
+
     def list_service_loads(
         self, service: str
     ) -> collections.abc.Iterator[targets.ServiceLoad]:
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -39,6 +39,16 @@
     'Load reports that could not be sent, by error number.',
     ['reason'],
 )
+LOAD_DATAGRAMS = prometheus_client.Counter(
+    'bambooring_load_datagrams_total',
+    'Datagrams received about load, by outcome.',
+    ['outcome'],
+)
+LOAD_DATAGRAM_BYTES = prometheus_client.Counter(
+    'bambooring_load_datagram_sent_bytes_total',
+    'Bytes of datagrams sent about load, by kind of message.',
+    ['kind'],
+)
 RANK_ORDERS = prometheus_client.Counter(
     'bambooring_rank_orders_total', 'Orders sent to ranks, by kind.', ['kind']
 )
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -78,10 +78,13 @@
 
     Sent by a control replica to the entry instances. It names the entry
     instances that are linked to the replica and the members of its group.
+    ``entry_domains`` has the failure domain of each of ``entries``; it is
+    empty if an older replica sent the message.
     """
 
     entries: list[str]
     controls: list[str]
+    entry_domains: list[str] = dataclasses.field(default_factory=list)
 
 
 @codec.register(SCHEMA, 174)
@@ -126,8 +129,9 @@
 class Load:
     """Load report of an entry instance to the others.
 
-    It is sent as a datagram. Each report is complete, so that the next one
-    makes up for a lost one.
+    It is sent as a datagram within the failure domain. Each report is
+    complete, so that the next one makes up for a lost one. ``sender`` is the
+    instance's link address.
     """
 
     sender: str
--- a/packages/bambooring/src/bambooring/targets/targets.capnp
+++ b/packages/bambooring/src/bambooring/targets/targets.capnp
@@ -34,6 +34,7 @@
 struct Topology {
   entries @0 :List(Text);
   controls @1 :List(Text);
+  entryDomains @2 :List(Text);
 }
 
 struct GroupPaces {
--- a/packages/core/src/bambooring_core/codec.py
+++ b/packages/core/src/bambooring_core/codec.py
@@ -229,3 +229,39 @@
     :raises FrameError: if the bytes are not a valid message
     """
     return decode(int.from_bytes(data[:2], 'little'), data[2:])
+
+
+def pack_dense(message: typing.Any) -> bytes:
+    """Encode a message with its type in Cap'n Proto's packed encoding.
+
+    It leaves out zero bytes, which takes more time than :func:`pack` and less
+    space. Used where each byte counts, as in datagrams.
+
+    :param message: an instance of a registered class
+    :returns: the type as two bytes, then the packed bytes
+    """
+    layout = _LAYOUTS_BY_CLASS[type(message)]
+    builder = layout.struct.new_message()
+    _fill_builder(builder, message, layout)
+    type_id = get_type_id(message).to_bytes(2, 'little')
+    return type_id + builder.to_bytes_packed()
+
+
+def unpack_dense(data: bytes) -> typing.Any:
+    """Decode the result of :func:`pack_dense`.
+
+    :param data: the packed bytes
+    :returns: the message
+    :raises FrameError: if the bytes are not a valid message
+    """
+    type_id = int.from_bytes(data[:2], 'little')
+    layout = _LAYOUTS_BY_ID.get(type_id)
+    if layout is None:
+        raise errors.FrameError(f'unknown frame type {type_id}')
+    try:
+        reader = layout.struct.from_bytes_packed(
+            data[2:], traversal_limit_in_words=_READ_LIMIT_WORDS
+        )
+        return _read_message(reader, layout)
+    except (capnp.KjException, ValueError) as error:
+        raise errors.FrameError(str(error)) from error
--- a/packages/core/src/bambooring_core/errors.py
+++ b/packages/core/src/bambooring_core/errors.py
@@ -13,6 +13,13 @@
     """Bytes are not a valid frame or message."""
 
 
+class DatagramError(BambooringError):
+    """A datagram is not a valid message of this cluster.
+
+    The message is the reason by which the metrics count it.
+    """
+
+
 class ResponseAbortedError(BambooringError):
     """A response is aborted on purpose, so that it can't look complete."""
 
