Bound endless input, and answer at a stop what has been read

Cause, endless input: informational responses were read without a limit, so a target that sends nothing else kept its caller waiting until the route's timeout; bytes behind a running request of a caller were kept without a limit. Shown by test_endless.py: 2 of 20 cases failed before (heads, chunk framing and trailers without end were bounded already).

Cause, stops: a control replica ended at once and cut the calls that it had read; an entry instance looked for open connections, not into its backlog, before it closed its listening socket, and read on for one turn after it had decided to end. 3 of 10 new cases failed before, none after.

Change: 16 informational responses at most; input is not read while more than 64 KiB wait behind a running request; both processes accept what waits before they stop listening, a replica waits 2 s at most for its calls.

--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -46,3 +46,11 @@
 # Share of the permitted retries that all entry instances together may use.
 # It is below 1 because each instance counts its retries by itself.
 RETRY_BUDGET_SHARE: typing.Final = 0.5
+
+# After the last answers of a stopping process, callers have this long to read
+# them before their connections are closed.
+STOP_LINGER_S: typing.Final = 0.2
+
+# A stopping control replica waits this long for the calls that it has read.
+STOP_CALLS_TIMEOUT_S: typing.Final = 2.0
+STOP_CALLS_INTERVAL_S: typing.Final = 0.02
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -158,6 +158,22 @@
             self._server.is_closing = True
         super()._leave()
 
+    def _end(self) -> None:
+        """End once the calls that have been read are answered."""
+        self._end_by(self._reactor.now() + const.STOP_CALLS_TIMEOUT_S)
+
+    def _end_by(self, deadline_s: float) -> None:
+        if self._server is not None:
+            self._server.close_idle()
+            is_done = self._server.stop_accepting()
+            if not is_done and self._reactor.now() < deadline_s:
+                self._reactor.call_later(
+                    const.STOP_CALLS_INTERVAL_S,
+                    functools.partial(self._end_by, deadline_s),
+                )
+                return
+        self._reactor.finish()
+
     def _get_control_links(self) -> list[links.Link]:
         """Return the links to other replicas that this one dialled."""
         return [
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -431,16 +431,24 @@
 
     def _stop_when_closed(self) -> None:
         self._caller_server.close_idle(const.STOP_IDLE_TIMEOUT_S)
-        if not self._caller_server.has_connections:
-            self._stop_now()
+        if self._caller_server.stop_accepting():
+            self._reactor.finish()
             return
         self._reactor.call_later(
             const.STOP_IDLE_TIMEOUT_S / 2, self._stop_when_closed
         )
 
     def _stop_now(self) -> None:
+        """Answer the requests that still run, then end.
+
+        Requests that arrive until then are answered too.
+        """
+        self.forwarder.stop_all()
+        self._reactor.call_later(const.STOP_LINGER_S, self._finish)
+
+    def _finish(self) -> None:
         self.forwarder.stop_all()
-        self._reactor.call_soon(self._reactor.stop)
+        self._reactor.finish()
 
 
 def _list_entries(
--- a/packages/bambooring/src/bambooring/replica.py
+++ b/packages/bambooring/src/bambooring/replica.py
@@ -112,7 +112,11 @@
         if replica is not None and replica.transfer_leadership():
             wait_s = replication_const.ELECTION_TIMEOUT_S
             self._schedule_flush()
-        self._reactor.call_later(wait_s, self._reactor.stop)
+        self._reactor.call_later(wait_s, self._end)
+
+    def _end(self) -> None:
+        """End the process once leadership had time to be transferred."""
+        self._reactor.stop()
 
     def _tick(self) -> None:
         now = self._reactor.now()
--- a/packages/core/src/bambooring_core/accepting.py
+++ b/packages/core/src/bambooring_core/accepting.py
@@ -53,6 +53,10 @@
                 self._listener, selectors.EVENT_READ, self._accept
             )
 
+    def accept_waiting(self) -> None:
+        """Accept the connections that wait in the backlog."""
+        self._accept(selectors.EVENT_READ)
+
     def _accept(self, events: int) -> None:
         while not self._is_closed:
             try:
--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -62,6 +62,7 @@
         self._out_buffer = bytearray()
         self._is_connecting = True
         self._is_paused = False
+        self._informational_count = 0
         self._timer = reactor.call_later(
             connect_timeout_s,
             lambda: self._fail(errors.Failure.CONNECT_TIMEOUT),
@@ -195,12 +196,17 @@
                     self.close()
                     self._listener.handle_response_end()
                 case h11.InformationalResponse():
-                    continue
+                    self._count_informational()
                 case h11.ConnectionClosed():
                     self._fail(errors.Failure.CLOSED_EARLY)
                 case _:
                     return
 
+    def _count_informational(self) -> None:
+        self._informational_count += 1
+        if self._informational_count > const.MAX_INFORMATIONAL_RESPONSES:
+            self._fail(errors.Failure.MALFORMED)
+
     def _fail(self, failure: errors.Failure) -> None:
         if not self.is_open:
             return
--- a/packages/core/src/bambooring_core/http1/const.py
+++ b/packages/core/src/bambooring_core/http1/const.py
@@ -8,6 +8,13 @@
 # is asked to pause.
 OUT_BUFFER_HIGH_WATER_BYTES: typing.Final = 128 * 1024
 
+# A connection is not read while it has more input than this behind a request
+# that is being handled.
+IN_BUFFER_HIGH_WATER_BYTES: typing.Final = 64 * 1024
+
+# Informational responses (1xx) that may come before a response.
+MAX_INFORMATIONAL_RESPONSES: typing.Final = 16
+
 MAX_HEADER_BYTES: typing.Final = 16 * 1024
 MAX_BODY_BYTES: typing.Final = 4 * 1024 * 1024
 HEADER_TIMEOUT_S: typing.Final = 3.0
--- a/packages/core/src/bambooring_core/http1/server.py
+++ b/packages/core/src/bambooring_core/http1/server.py
@@ -162,6 +162,7 @@
             self._refuse(_make_refusal(error))
         except errors.RequestError as error:
             self._refuse(error)
+        self._update_watch()
 
     def _read_events(self) -> None:
         while self.is_open and self._exchange is None:
@@ -315,7 +316,7 @@
                 self.close()
                 return
             del self._out_buffer[:sent]
-        self._watch_write(bool(self._out_buffer))
+        self._update_watch()
         exchange = self._exchange
         if was_congested and not self.is_congested and exchange is not None:
             if exchange.on_drained is not None:
@@ -324,13 +325,31 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_WR)
 
-    def _watch_write(self, has_output: bool) -> None:
-        events = selectors.EVENT_READ
-        if has_output:
+    @property
+    def _has_excess_input(self) -> bool:
+        """Whether the caller has sent too much behind a running request."""
+        if self._exchange is None:
+            return False
+        unread_bytes = len(self._http.trailing_data[0])
+        return unread_bytes > const.IN_BUFFER_HIGH_WATER_BYTES
+
+    def _update_watch(self) -> None:
+        """Watch for input unless there is too much, and for room to write.
+
+        A connection that isn't read isn't seen to close either.
+        """
+        if not self.is_open:
+            return
+        events = 0 if self._has_excess_input else selectors.EVENT_READ
+        if self._out_buffer:
             events |= selectors.EVENT_WRITE
-        if events != self._events:
-            self._events = events
+        if events == self._events:
+            return
+        self._events = events
+        if events:
             self._reactor.watch(self._socket, events, self._on_ready)
+        else:
+            self._reactor.unwatch(self._socket)
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -451,6 +470,20 @@
             if connection.is_idle and now - connection.last_active_s >= idle_s:
                 connection.close()
 
+    def stop_accepting(self) -> bool:
+        """Stop listening, unless a connection is open or waits in the backlog.
+
+        Callers in the backlog may have sent a request already.
+
+        :returns: whether the server has stopped listening
+        """
+        assert self._acceptor is not None
+        self._acceptor.accept_waiting()
+        if self.has_connections:
+            return False
+        self._acceptor.close()
+        return True
+
     def remove_connection(self, connection: Connection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
--- a/packages/core/src/bambooring_core/reactor.py
+++ b/packages/core/src/bambooring_core/reactor.py
@@ -88,6 +88,13 @@
     def _set_stopping(self) -> None:
         self._is_stopping = True
 
+    def finish(self) -> None:
+        """End :meth:`run` with this iteration, before any socket is read again.
+
+        To be called in the reactor's thread only.
+        """
+        self._set_stopping()
+
     def _run_posted(self, events: int) -> None:
         with contextlib.suppress(BlockingIOError):
             self._wake_reader.recv(4096)
