Resume stalled streams at another target; bound one event

Cause: no attempt of a stream had a limit on its silence, so a connection that went silent for good ended with its caller's patience; up to 1 MiB was kept for each stream without an event's end; and whole events that came in one read with an event over the limit were lost, since they counted as passed on.

Ruled out: a limit on silence alone, which would start running work again elsewhere while a model group stands, or cut slow streams.

Change: a stream that has begun and can be resumed goes on at another free target after half of the time that callers wait, if targets of its service elsewhere had events meanwhile. Single bytes don't count, only whole events. An event may have 128 KiB, a response is buffered up to 128 KiB.

--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -47,7 +47,16 @@
 
 # Responses up to this size are buffered until they are complete, so that the
 # request can be retried at another target if the response breaks off.
-MAX_BUFFERED_BODY_BYTES: typing.Final = 256 * 1024
+MAX_BUFFERED_BODY_BYTES: typing.Final = 128 * 1024
+
+# A stream whose target sends more than this without the end of an event is
+# broken off. An instance has to have room for it once for each of its streams.
+MAX_EVENT_BYTES: typing.Final = 128 * 1024
+
+# A stream that has begun and can be resumed goes on at another target if it
+# gets no event for this share of the time after which callers give it up,
+# while streams of the same service at other targets get some.
+STREAM_STALL_SHARE: typing.Final = 0.5
 
 # How often a request is tried again after attempts that provably did not run
 # it. The service pauses between them, so together they span a short outage.
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -116,6 +116,18 @@
     )
 
 
+def get_stream_idle_s(route: policy.Route) -> float:
+    """Return how long callers wait for the next event of a stream.
+
+    After this time they give it up.
+    """
+    return max(
+        const.STREAM_IDLE_TIMEOUT_S,
+        const.STREAM_IDLE_OBJECTIVES * route.first_byte_objective_s,
+        const.STREAM_IDLE_GAPS * route.max_event_gap_s,
+    )
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class WaitEstimate:
     """How long a request is expected to wait for a slot, in seconds.
--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -2,10 +2,9 @@
 
 import collections.abc
 
+from bambooring.forwarding import const
 from bambooring.forwarding import errors
 
-_MAX_EVENT_BYTES = 1024 * 1024
-
 
 class ResumableEventStream:
     """Extract complete events, each once and in order.
@@ -44,10 +43,10 @@
             event is too large
         """
         self._buffer += data
-        if len(self._buffer) > _MAX_EVENT_BYTES:
-            raise errors.StreamGapError('event exceeds the size limit')
         while True:
             end = _find_event_end(self._buffer)
+            if (end or len(self._buffer)) > const.MAX_EVENT_BYTES:
+                raise errors.StreamGapError('event exceeds the size limit')
             if not end:
                 return
             event = bytes(self._buffer[:end])
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -13,6 +13,7 @@
 from bambooring.forwarding import events
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
+from bambooring.forwarding import stalls
 from bambooring import metrics
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server
@@ -27,6 +28,7 @@
     reactor: reactor_module.Reactor
     balancer: balancing.Balancer
     fairness: fairness_module.FairnessTracker
+    event_log: stalls.EventLog
 
     def start_attempt(
         self, pending: 'PendingRequest', choice: balancing.Choice
@@ -41,6 +43,9 @@
     def dispatch_or_queue(self, pending: 'PendingRequest') -> None:
         """Send a request to a target, or queue it until a slot is free."""
 
+    def may_dispatch(self, pending: 'PendingRequest') -> bool:
+        """Return whether a target could take a request now."""
+
     def remove_from_queue(self, pending: 'PendingRequest') -> None:
         """Remove a request from its queue, if it is queued."""
 
@@ -110,6 +115,7 @@
         self._event_stream = events.ResumableEventStream(request.last_event_id)
         self._first_byte_s: float | None = None
         self._silence_timer: reactor_module.Timer | None = None
+        self._stall_watch: stalls.StallWatch | None = None
         self._is_over = False
         self._deadline_timer = forwarder.reactor.call_later(
             self.deadline_s - forwarder.reactor.now(), self._expire
@@ -142,12 +148,9 @@
         """
         if self.route.kind != 'stream':
             return self.deadline_s - self.received_s
-        max_idle_s = max(
-            const.STREAM_IDLE_TIMEOUT_S,
-            const.STREAM_IDLE_OBJECTIVES * self.route.first_byte_objective_s,
-            const.STREAM_IDLE_GAPS * self.route.max_event_gap_s,
+        return (
+            decisions.get_stream_idle_s(self.route) * const.STREAM_WAIT_SHARE
         )
-        return max_idle_s * const.STREAM_WAIT_SHARE
 
     @property
     def should_retry_later(self) -> bool:
@@ -205,7 +208,7 @@
 
         The head of a stream is sent with its first complete event.
         """
-        self._cancel_silence_timer()
+        self._cancel_silence_timers()
         self._forwarder.balancer.record_response_started(self.service)
         if not self._is_stream():
             self._start_response(attempt)
@@ -232,33 +235,74 @@
     def _forward_events(
         self, attempt: attempt_module.Attempt, data: bytes
     ) -> None:
+        complete_events: list[bytes] = []
+        failure: errors.StreamGapError | None = None
         try:
-            complete_events = b''.join(self._event_stream.feed(data))
+            complete_events.extend(self._event_stream.feed(data))
         except errors.StreamGapError as error:
+            failure = error
+        if complete_events:
+            self._send_events(attempt, b''.join(complete_events))
+        if failure is not None and not attempt.is_over:
             LOG.warning(
                 'event stream aborted',
                 request=self.request.attempt_id,
                 target=attempt.target.id,
-                error=str(error),
+                error=str(failure),
             )
             attempt.abort()
             self.handle_failure(attempt, 'stream_gap')
-            return
-        if not complete_events:
-            return
+
+    def _send_events(
+        self, attempt: attempt_module.Attempt, complete_events: bytes
+    ) -> None:
         now_s = self._forwarder.reactor.now()
         if not self.progress.is_response_started:
             self._start_response(attempt)
-        elif attempt.last_event_at_s is not None:
+        if attempt.last_event_at_s is not None:
             self._forwarder.balancer.record_event_gap(
                 self.service,
                 now_s - attempt.last_event_at_s,
                 self.route.max_event_gap_s,
             )
         attempt.last_event_at_s = now_s
+        self._forwarder.event_log.record(
+            self.service, attempt.target.id, now_s
+        )
+        self._watch_for_stall(attempt)
         if not self._is_over:
             self._exchange.write(complete_events)
 
+    def _watch_for_stall(self, attempt: attempt_module.Attempt) -> None:
+        """Note an event of a stream that could go on at another target."""
+        if self._stall_watch is not None:
+            self._stall_watch.record_event()
+        elif self.route.is_retryable and not self._is_over:
+            self._stall_watch = stalls.StallWatch(
+                reactor=self._forwarder.reactor,
+                limit_s=decisions.get_stream_idle_s(self.route)
+                * const.STREAM_STALL_SHARE,
+                has_progress_since=lambda since_s: (
+                    self._forwarder.event_log.has_event_elsewhere(
+                        self.service, attempt.target.id, since_s
+                    )
+                ),
+                handle_stall=self._resume_elsewhere,
+            )
+
+    def _resume_elsewhere(self) -> None:
+        """Continue a stalled stream at another target, if one is free."""
+        attempt = self._attempt
+        if attempt is None or self._exchange.is_congested:
+            return
+        if not self._forwarder.may_dispatch(self):
+            return
+        if not self._claim_retry('stalled'):
+            return
+        self._abort_attempt('stalled')
+        self._event_stream.restart()
+        self._forwarder.dispatch_or_queue(self)
+
     def _resume_reading(self) -> None:
         if self._attempt is not None:
             self._attempt.call.resume()
@@ -387,7 +431,7 @@
     def _close_attempt(
         self, attempt: attempt_module.Attempt, outcome: str
     ) -> None:
-        self._cancel_silence_timer()
+        self._cancel_silence_timers()
         self._attempt = None
         record = self._attempt_records[-1]
         record.outcome = outcome
@@ -395,7 +439,10 @@
         record.duration_ms = round(elapsed_s * 1000)
         self._forwarder.release_attempt(attempt)
 
-    def _cancel_silence_timer(self) -> None:
+    def _cancel_silence_timers(self) -> None:
+        if self._stall_watch is not None:
+            self._stall_watch.cancel()
+            self._stall_watch = None
         if self._silence_timer is not None:
             self._silence_timer.cancel()
             self._silence_timer = None
@@ -480,7 +527,7 @@
             return
         self._is_over = True
         self._deadline_timer.cancel()
-        self._cancel_silence_timer()
+        self._cancel_silence_timers()
         self._forwarder.remove_from_queue(self)
         self._forwarder.remove_request(self)
         if outcome != const.Reason.CALLER_LEFT:
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -15,6 +15,7 @@
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import pending_request
+from bambooring.forwarding import stalls
 from bambooring import metrics
 from bambooring.policy import lease as lease_module
 from bambooring.policy import state as policy_state
@@ -52,6 +53,7 @@
         self.reactor = reactor
         self.balancer = balancer
         self.fairness = fairness_module.FairnessTracker()
+        self.event_log = stalls.EventLog()
         self.policy_table: policy_state.PolicyTable | None = None
         self._dialect = dialect
         self._lease = lease
@@ -211,6 +213,15 @@
         pending.send_to_target(choice)
         return True
 
+    def may_dispatch(self, pending: pending_request.PendingRequest) -> bool:
+        """Return whether a target could take a request now."""
+        if self.balancer.is_group_broken(pending.service):
+            return False
+        choice = self.balancer.choose(
+            pending.service, self.reactor.now(), pending.tried_targets
+        )
+        return choice is not None
+
     def _schedule_poll(self) -> None:
         if self._poll_timer is None:
             self._poll_timer = self.reactor.call_later(
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
@@ -122,6 +122,18 @@
 )
 
 
+class _OffsetClock:
+    """The real time plus what a test adds to skip over a silence."""
+
+    def __init__(self, offset):
+        self._offset = offset
+        self._clock = clock_module.MonotonicClock()
+
+    def now(self):
+        """Return the time in seconds."""
+        return self._clock.now() + self._offset.now()
+
+
 class ScriptedTarget:
     """A target that responds as a function of this module says.
 
@@ -192,6 +204,35 @@
     target.record_run(exchange)
 
 
+def stall_stream(target, exchange):
+    """Run a request and send some events, then single bytes when told to."""
+    cut_stream(target, exchange)
+
+
+def send_slowly(target, exchange):
+    """Run a request and send an event whenever the test says so."""
+    target.record_run(exchange)
+    exchange.start(200, _make_headers(exchange, (b'Stream', b'1')))
+    target.next_event = int(exchange.request.get(b'last')) + 1
+    target.slow_exchange = exchange
+    send_next_event(target)
+
+
+def send_next_event(target):
+    """Send the next event of a slow stream."""
+    target.slow_exchange.write(
+        _make_events(target.next_event, target.next_event)
+    )
+    target.next_event += 1
+
+
+def send_endless_event(target, exchange):
+    """Run a request and send whole events, then one without an end."""
+    target.record_run(exchange)
+    exchange.start(200, _make_headers(exchange, (b'Stream', b'1')))
+    exchange.write(_make_events(1, 4) + b'data: ' + b'x' * 200_000)
+
+
 def _make_events(first_id, last_id):
     return b''.join(
         b'id: %d\ndata: x\n\n' % event_id
@@ -220,7 +261,10 @@
     """A forwarder with a server for callers and with scripted targets."""
 
     def __init__(self, stack, *scripts):
-        self.reactor = stack.enter_context(reactor_module.Reactor())
+        self.clock = clock_module.ManualClock()
+        self.reactor = stack.enter_context(
+            reactor_module.Reactor(_OffsetClock(self.clock))
+        )
         self.targets = [ScriptedTarget(script) for script in scripts]
         self.balancer = balancing.Balancer('a', random.Random(1))
         self.forwarder = task.Forwarder(
@@ -452,3 +496,91 @@
     harness.forwarder.stop_all()
     data, _ = harness.read_response(sock)
     assert data.startswith(b'HTTP/1.1 502')
+
+
+def _advance(harness, seconds, step=0.1):
+    """Skip over some time in steps in which the reactor runs."""
+    for _ in range(round(seconds / step)):
+        harness.clock.advance(step)
+        for _ in range(3):
+            harness.reactor.call_later(0.001, lambda: None)
+            harness.reactor.run_once()
+
+
+def _start_streams(harness):
+    """Start a stream at the first target, then one at the second."""
+    stalled = harness.send_request(b'/talk/1')
+    harness.turn_until(lambda: hasattr(harness.targets[0], 'cut_exchange'))
+    harness.balancer.add_request('t2', 1)
+    other = harness.send_request(b'/talk/2')
+    harness.turn_until(lambda: hasattr(harness.targets[1], 'slow_exchange'))
+    harness.balancer.remove_request('t2', 1)
+    return stalled, other
+
+
+def test_stalled_stream_goes_on_elsewhere(make_harness):
+    """A stream that gets single bytes only is resumed at another target.
+
+    The second target's stream has an event a second: it is slow but sound and
+    stays where it is.
+    """
+    harness = make_harness(stall_stream, send_slowly, send_stream)
+    stalled, other = _start_streams(harness)
+    for _ in range(3):
+        _advance(harness, 0.4)
+        harness.targets[0].cut_exchange.write(b'x')
+        send_next_event(harness.targets[1])
+    harness.turn_until(lambda: harness.targets[2].runs)
+    data = bytearray()
+
+    def is_complete():
+        with contextlib.suppress(BlockingIOError):
+            data.extend(stalled.recv(65536))
+        return data.endswith(b'0\r\n\r\n')
+
+    harness.turn_until(is_complete)
+    counts = [data.count(b'id: %d\n' % number) for number in range(1, 10)]
+    assert counts == [1] * 9
+    assert len(harness.targets[1].runs) == 1
+    stalled.close()
+    other.close()
+
+
+def test_standing_service_moves_no_stream(make_harness):
+    """While all targets are silent no stream is started again elsewhere."""
+    harness = make_harness(stall_stream, send_slowly, send_stream)
+    stalled, other = _start_streams(harness)
+    _advance(harness, 3.0)
+    assert not harness.targets[2].runs
+    assert harness.run_count == 2
+    send_next_event(harness.targets[1])
+    harness.targets[0].cut_exchange.write(b'ta: x\n\n')
+    _advance(harness, 0.8)
+    assert harness.run_count == 2
+    stalled.close()
+    other.close()
+
+
+def test_stalled_response_ends_at_the_timeout(make_harness):
+    """A target that sends a byte now and then ends with the route's timeout."""
+    harness = make_harness(stall_stream)
+    sock = harness.send_request(b'/talk/1')
+    harness.turn_until(lambda: hasattr(harness.targets[0], 'cut_exchange'))
+    for _ in range(60):
+        _advance(harness, 0.1)
+        with contextlib.suppress(AttributeError):
+            harness.targets[0].cut_exchange.write(b'x')
+    assert not harness.forwarder.pending_count
+    data, was_reset = harness.read_response(sock)
+    assert was_reset
+    assert not data.endswith(b'0\r\n\r\n')
+
+
+def test_endless_event_loses_no_whole_event(make_harness):
+    """Whole events before one without an end reach the caller, once each."""
+    harness = make_harness(send_endless_event, send_stream)
+    data, was_reset = harness.read_response(harness.send_request(b'/talk/1'))
+    assert not was_reset
+    counts = [data.count(b'id: %d\n' % number) for number in range(1, 10)]
+    assert counts == [1] * 9
+    assert not harness.balancer._is_healthy('t0', harness.reactor.now())
