Send expert maps and counts packed; report demand less often in large groups

Both went through the leader's links across domains.

Schemas keep the numbers of the former fields.

--- a/packages/agent/src/bambooring_agent/ranks/state.py
+++ b/packages/agent/src/bambooring_agent/ranks/state.py
@@ -1,8 +1,18 @@
 """Derive the demand for experts from the totals that a rank counts."""
 
+from bambooring_agent.ranks import const
 from bambooring_core.ranks import messages
 
 
+def compute_counts_interval_s(group_size: int) -> float:
+    """Return how often a rank reads its counts, in seconds.
+
+    :param group_size: the number of ranks in the group, 0 if not known
+    """
+    scale = max(1.0, group_size / const.RANKS_AT_FULL_RATE)
+    return const.COUNTS_POLL_INTERVAL_S * scale
+
+
 class DemandMeter:
     """Computes the demand of one rank from its successive totals.
 
--- a/packages/bambooring/src/bambooring/experts/rebalancer_types.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancer_types.py
@@ -104,7 +104,7 @@
 class Switch:
     """Track a switch that is under way, or a stray hold to clear up.
 
-    ``sets`` is the new map; for a stray hold it is empty and ``version`` is
+    ``packed_map`` is the new map; for a stray hold it is empty and ``version`` is
     0. ``holding_rank`` holds the group before ``held_step``. ``armed_ranks``
     are known to be armed. At the ranks in ``arm_in_flight`` an order to arm
     the prepared version may still arrive.
@@ -113,7 +113,7 @@
 
     epoch: int
     version: int
-    sets: list[ranks.SetMap]
+    packed_map: bytes
     started_s: float
     is_partial: bool = False
     holding_rank: int = 0
--- a/packages/bambooring/src/bambooring/experts/rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancing.py
@@ -273,7 +273,7 @@
         self._switch = rebalancer_types.Switch(
             epoch=state.epoch,
             version=0,
-            sets=[],
+            packed_map=b'',
             started_s=now_s,
             holding_rank=state.rank,
             held_step=state.held,
@@ -302,7 +302,7 @@
         switch = rebalancer_types.Switch(
             epoch=states[0].epoch,
             version=self._highest_version,
-            sets=[_make_set_map(plan.layout) for plan in plans],
+            packed_map=ranks.pack_map([plan.layout for plan in plans]),
             started_s=now_s,
             is_partial=any(plan.is_partial for plan in plans),
         )
@@ -317,7 +317,7 @@
         order = self._make_order(
             ranks.OrderKind.PREPARE,
             version=switch.version,
-            sets=switch.sets,
+            packed_map=switch.packed_map,
         )
         for rank in states:
             yield self._send_order(rank, order, now_s)
@@ -350,9 +350,11 @@
         *,
         version: int = 0,
         step: int = 0,
-        sets: list[ranks.SetMap] | None = None,
+        packed_map: bytes = b'',
     ) -> rebalancer_types.SendOrder:
-        order = self._make_order(kind, version=version, step=step, sets=sets)
+        order = self._make_order(
+            kind, version=version, step=step, packed_map=packed_map
+        )
         return self._send_order(rank, order, now_s)
 
     def _make_order(
@@ -361,7 +363,7 @@
         *,
         version: int = 0,
         step: int = 0,
-        sets: list[ranks.SetMap] | None = None,
+        packed_map: bytes = b'',
     ) -> ranks.RankOrder:
         """Make an order, which may go to one rank or to several."""
         assert self._switch is not None
@@ -371,7 +373,7 @@
             epoch=self._switch.epoch,
             version=version,
             step=step,
-            sets=sets or [],
+            packed_map=packed_map,
         )
         self._next_order_id += 1
         return order
@@ -415,7 +417,7 @@
             pending.order.kind,
             version=pending.order.version,
             step=pending.order.step,
-            sets=pending.order.sets,
+            packed_map=pending.order.packed_map,
         )
         return self._send_order(
             pending.rank, order, now_s, pending.attempts + 1
@@ -710,17 +712,19 @@
             ranks.OrderKind.PREPARE,
             now_s,
             version=self._highest_version,
-            sets=self._make_current_map(),
+            packed_map=self._make_current_map(),
         )
 
-    def _make_current_map(self) -> list[ranks.SetMap]:
+    def _make_current_map(self) -> bytes:
         """Return the map in force, for which no rank has to copy anything."""
         infos = [self._rank_info[rank] for rank in sorted(self._rank_info)]
         sets = len(infos[0].state.layout)
-        return [
-            ranks.SetMap(ranks=[info.state.layout[index] for info in infos])
-            for index in range(sets)
-        ]
+        return ranks.pack_map(
+            [
+                [info.state.layout[index].experts for info in infos]
+                for index in range(sets)
+            ]
+        )
 
 
 # While in these phases, the group may be held.
@@ -793,9 +797,3 @@
         version not in (state.armed, state.prepared, state.version)
         for state in states.values()
     )
-
-
-def _make_set_map(layout: placement.Layout) -> ranks.SetMap:
-    return ranks.SetMap(
-        ranks=[ranks.RankExperts(experts=experts) for experts in layout]
-    )
--- a/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
@@ -51,7 +51,8 @@
                     return False
                 self.highest_version = order.version
                 self.layouts[order.version] = [
-                    set_map.ranks[self.rank].experts for set_map in order.sets
+                    set_map[self.rank]
+                    for set_map in messages.unpack_map(order.packed_map)
                 ]
                 self.prepared = 0
                 self.copying = (order.version, now_s + COPY_S)
--- a/packages/core/src/bambooring_core/ranks/messages.py
+++ b/packages/core/src/bambooring_core/ranks/messages.py
@@ -25,6 +25,8 @@
 NOT_HELD: typing.Final = -1
 # Counts are compressed many times a second: speed matters more than size.
 _COMPRESSION_LEVEL: typing.Final = 1
+# Unsigned integers of one, two and four bytes.
+_COUNT_TYPES: typing.Final = ('B', 'H', 'I')
 # The layout version before the rank's experts have been read for the first
 # time.
 UNKNOWN_LAYOUT: typing.Final = -1
@@ -65,14 +67,6 @@
     experts: list[int]
 
 
-@codec.register(SCHEMA)
-@dataclasses.dataclass(slots=True, kw_only=True)
-class SetMap:
-    """The experts that each rank of a group holds in one set of layers."""
-
-    ranks: list[RankExperts]
-
-
 @codec.register(SCHEMA, 180)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RankState:
@@ -107,14 +101,17 @@
 @codec.register(SCHEMA, 181)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RankOrder:
-    """Give a rank an order, valid for one epoch of its group."""
+    """Give a rank an order, valid for one epoch of its group.
+
+    ``packed_map`` is the expert map to prepare, see :func:`pack_map`.
+    """
 
     order: int
     kind: OrderKind
     epoch: int
     version: int = 0
     step: int = 0
-    sets: list[SetMap] = dataclasses.field(default_factory=list)
+    packed_map: bytes = b''
 
 
 @codec.register(SCHEMA, 182)
@@ -177,10 +174,21 @@
 
 
 def pack_counts(counts: list[int]) -> bytes:
-    """Compress counts; most are small and take about one byte each."""
-    return zlib.compress(
-        array.array('I', counts).tobytes(), _COMPRESSION_LEVEL
+    """Compress counts; most are small and take about one byte each.
+
+    The first byte names the type of the array that follows, the narrowest
+    that has room for all counts.
+    """
+    highest = max(counts, default=0)
+    type_code = next(
+        code
+        for code in _COUNT_TYPES
+        if highest < 1 << 8 * array.array(code).itemsize
     )
+    packed = zlib.compress(
+        array.array(type_code, counts).tobytes(), _COMPRESSION_LEVEL
+    )
+    return type_code.encode() + packed
 
 
 def unpack_counts(packed: bytes) -> list[int]:
@@ -188,14 +196,58 @@
 
     :raises FrameError: if the bytes can't be decompressed
     """
-    counts = array.array('I')
+    type_code = packed[:1].decode('ascii', 'replace')
+    if type_code not in _COUNT_TYPES:
+        raise errors.FrameError('packed counts of an unknown type')
+    counts = array.array(type_code)
     try:
-        counts.frombytes(zlib.decompress(packed))
+        counts.frombytes(zlib.decompress(packed[1:]))
     except (zlib.error, ValueError) as error:
         raise errors.FrameError(f'invalid packed counts: {error}') from error
     return counts.tolist()
 
 
+# The experts of each rank, by set of layers and rank.
+ExpertMap = list[list[list[int]]]
+
+
+def pack_map(sets: ExpertMap) -> bytes:
+    """Compress an expert map, which goes to each rank of a group.
+
+    Before the experts of each rank comes their number.
+    """
+    numbers = array.array('H', [len(sets), len(sets[0]) if sets else 0])
+    for set_map in sets:
+        for experts in set_map:
+            numbers.append(len(experts))
+            numbers.extend(experts)
+    return zlib.compress(numbers.tobytes())
+
+
+def unpack_map(packed: bytes) -> ExpertMap:
+    """Decompress the result of :func:`pack_map`.
+
+    :raises FrameError: if the bytes are not a whole map
+    """
+    numbers = array.array('H')
+    try:
+        numbers.frombytes(zlib.decompress(packed))
+        remaining = iter(numbers)
+        set_count, rank_count = next(remaining), next(remaining)
+        sets = [
+            [
+                [next(remaining) for _ in range(next(remaining))]
+                for _ in range(rank_count)
+            ]
+            for _ in range(set_count)
+        ]
+    except (zlib.error, ValueError, RuntimeError, StopIteration) as error:
+        raise errors.FrameError(f'invalid packed map: {error}') from error
+    if next(remaining, None) is not None:
+        raise errors.FrameError('bytes after the end of a packed map')
+    return sets
+
+
 @codec.register(SCHEMA, 184)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Attendance:
--- a/packages/core/src/bambooring_core/ranks/ranks.capnp
+++ b/packages/core/src/bambooring_core/ranks/ranks.capnp
@@ -46,7 +46,9 @@
   epoch @2 :UInt64;
   version @3 :UInt64;
   step @4 :Int64;
-  sets @5 :List(SetMap);
+  # Uncompressed maps, sent by earlier versions.
+  oldSets @5 :List(SetMap);
+  packedMap @6 :Data;
 }
 
 struct RankOrderDone {
@@ -78,7 +80,9 @@
   sets @4 :UInt32;
   # Uncompressed counts, sent by earlier versions.
   oldCounts @5 :List(UInt32);
-  packed @6 :Data;
+  # Compressed counts of four bytes each, sent by earlier versions.
+  oldPacked @6 :Data;
+  packed @7 :Data;
 }
 
 struct Attendance {
