Send each policy and target change to an entry instance from near

Cause: each replica sent each policy and each changed target to all entry instances: five copies on the large site, four of them from other domains.

Change: an entry instance tells each replica whether it is a main one (those of its own domain, or all if none of those is linked) and which policy it has in force. Main replicas send policies at once and pass on what other replicas told them; the others send their own news, and a policy only if the instance still lacks it 0.3 s later.

Ruled out: two subscriptions an instance; if the core is split, heartbeats that reach the other half would be missing.

--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -54,3 +54,7 @@
 # A stopping control replica waits this long for the calls that it has read.
 STOP_CALLS_TIMEOUT_S: typing.Final = 2.0
 STOP_CALLS_INTERVAL_S: typing.Final = 0.02
+
+# A control replica gives those of an entry instance's own failure domain this
+# long to send it a new policy before it sends one itself.
+POLICY_BACKUP_DELAY_S: typing.Final = 0.3
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -9,6 +9,7 @@
 from bambooring.experts import rebalancer_types
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.gateway import const
+from bambooring.gateway import feeds
 from bambooring.gateway import groups
 from bambooring.gateway import leases
 from bambooring.gateway import messages as gateway
@@ -87,13 +88,15 @@
             make_hub=functools.partial(make_hub, **hub_options),
         )
         self._logged_version = 0
-        self._sent_versions: dict[links.Link, int] = {}
+        self._feeds = feeds.EntryFeeds()
+        self._is_backup_scheduled = False
         self._registrar = registrar.TargetRegistrar(
             reactor=reactor,
             heartbeat_s=settings.heartbeat_s,
             get_entry_links=functools.partial(
                 self._hub.get_links, core_const.ROLE_ENTRY
             ),
+            get_main_links=self._feeds.list_main,
             get_control_links=self._get_control_links,
         )
         self._lease_granter = leases.LeaseGranter(reactor, self.submit)
@@ -204,15 +207,17 @@
         if link.peer.role == core_const.ROLE_AGENT:
             self._group_manager.greet_agent(link)
             return
-        self._registrar.send_all_targets(link)
+        is_near = link.peer.failure_domain == self._settings.failure_domain
+        if is_near:
+            self._registrar.send_all_targets(link)
         if self._topology is not None:
             link.send(self._topology)
-        self._sent_versions[link] = 0
+        self._feeds.add(link, is_main=is_near)
         self._send_policy()
 
     def handle_link_down(self, link: links.Link) -> None:
         """Drop the state that belongs to a link."""
-        self._sent_versions.pop(link, None)
+        self._feeds.remove(link)
         self._registrar.handle_link_down(link)
         super().handle_link_down(link)
 
@@ -224,11 +229,33 @@
         self._send_policy()
 
     def _send_policy(self) -> None:
+        """Send the newest policy to the entry instances that need it.
+
+        Those that get it from a nearer replica are checked again later.
+        """
         newest = self._state_machine.policy.newest
-        for link, version in self._sent_versions.items():
-            if version < newest.version:
-                self._sent_versions[link] = newest.version
-                link.send(newest)
+        for link in self._feeds.take_due(newest.version, is_backup=False):
+            link.send(newest)
+        if self._feeds.has_due(newest.version):
+            if not self._is_backup_scheduled:
+                self._is_backup_scheduled = True
+                self._reactor.call_later(
+                    const.POLICY_BACKUP_DELAY_S, self._send_backup_policy
+                )
+
+    def _send_backup_policy(self) -> None:
+        self._is_backup_scheduled = False
+        newest = self._state_machine.policy.newest
+        for link in self._feeds.take_due(newest.version, is_backup=True):
+            link.send(newest)
+
+    def _update_status(
+        self, link: links.Link, status: targets.EntryStatus
+    ) -> None:
+        """Record what an entry instance needs, and send what it lacks."""
+        if self._feeds.update(link, status):
+            self._registrar.send_all_targets(link)
+        self._send_policy()
 
     def _update_topology(self) -> None:
         """Send the topology to the entry instances if it has changed.
@@ -290,6 +317,8 @@
                 self._registrar.merge_announced(link, message)
             case targets.AnnouncedReply():
                 self._registrar.handle_confirmation(link, message)
+            case targets.EntryStatus():
+                self._update_status(link, message)
             case policy.LeaseRequest():
                 self._lease_granter.add_request(link, message)
             case _:
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -197,11 +197,31 @@
     def handle_link_up(self, link: links.Link) -> None:
         """Request a lease as soon as a control replica is linked."""
         LOG.info('control replica linked', peer=link.name)
+        self._send_status()
         self._request_lease()
 
+    def _send_status(self) -> None:
+        """Tell each control replica what this instance needs from it."""
+        controls = self._hub.get_links(core_const.ROLE_CONTROL)
+        near = [
+            link
+            for link in controls
+            if link.peer is not None
+            and link.peer.failure_domain == self._settings.failure_domain
+        ]
+        table = self.forwarder.policy_table
+        for link in controls:
+            link.send(
+                targets.EntryStatus(
+                    is_main=not near or link in near,
+                    policy_version=table.version if table else 0,
+                )
+            )
+
     def handle_link_down(self, link: links.Link) -> None:
         """Drop the topology that came from a lost control replica."""
         self._topologies.pop(link, None)
+        self._send_status()
         remaining = len(self._hub.get_links(core_const.ROLE_CONTROL))
         LOG.info('control replica lost', peer=link.name, left=remaining)
 
@@ -257,6 +277,7 @@
             source=link.name,
             routes=len(decoded.routes),
         )
+        self._send_status()
         self._request_lease()
 
     def _request_lease(self) -> None:
--- a/packages/bambooring/src/bambooring/gateway/registrar.py
+++ b/packages/bambooring/src/bambooring/gateway/registrar.py
@@ -47,11 +47,13 @@
         reactor: reactor_module.Reactor,
         heartbeat_s: float,
         get_entry_links: GetLinks,
+        get_main_links: GetLinks,
         get_control_links: GetLinks,
     ) -> None:
         self._reactor = reactor
         self._registry = targets_state.Registry(heartbeat_s)
         self._get_entry_links = get_entry_links
+        self._get_main_links = get_main_links
         self._get_control_links = get_control_links
         self._refreshed_ids: dict[str, None] = {}
         self._confirmations: dict[int, _Confirmation] = {}
@@ -168,7 +170,10 @@
     def merge_announced(
         self, link: links.Link, message: messages.Announced
     ) -> None:
-        """Merge another replica's news and send changes to entry instances."""
+        """Merge another replica's news, and pass changes on.
+
+        They go to the entry instances of which this is a main replica.
+        """
         now_s = self._reactor.now()
         changed = []
         for target in message.targets:
@@ -182,7 +187,7 @@
             announced = messages.Announced(
                 targets=changed, refreshed=[], confirmation=0
             )
-            for entry_link in self._get_entry_links():
+            for entry_link in self._get_main_links():
                 entry_link.send(announced)
 
     def find_rank(self, group: str, rank: int) -> messages.Target | None:
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -87,6 +87,21 @@
     entry_domains: list[str] = dataclasses.field(default_factory=list)
 
 
+@codec.register(SCHEMA, 177)
+@dataclasses.dataclass(slots=True, kw_only=True)
+class EntryStatus:
+    """Tell a control replica what an entry instance needs from it.
+
+    ``is_main`` is true for the replicas in the entry's failure domain, and for
+    all if none of those is linked. Only they pass on what other replicas told
+    them; the others send just their own news. ``policy_version`` is the policy
+    in force at the entry, 0 for none.
+    """
+
+    is_main: bool
+    policy_version: int
+
+
 @codec.register(SCHEMA, 174)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class GroupPaces:
--- a/packages/bambooring/src/bambooring/targets/targets.capnp
+++ b/packages/bambooring/src/bambooring/targets/targets.capnp
@@ -37,6 +37,11 @@
   entryDomains @2 :List(Text);
 }
 
+struct EntryStatus {
+  isMain @0 :Bool;
+  policyVersion @1 :UInt64;
+}
+
 struct GroupPaces {
   group @0 :Text;
   paces @1 :List(Float32);
