Keep the retries of hundreds of instances within the shared bound

Cause: each instance could spend a burst of two retries, however many there are: 250 instances together exceed a slack of 448 in a window with little traffic.

Change: the burst is a share of the slack, at least one retry while there are not more instances than that, and leaves less to refill. Fleets of up to some hundred instances keep nearly the same rates.

Test: test_retries_of_a_large_fleet_with_few_requests fails with the former formula at 250, 400 and 900 instances. Lending by need is not built.

--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -390,13 +390,15 @@
         :param instance_count: the number of entry instances
         """
         settings = self._settings
-        slack = (
-            settings.retry_slack * const.RETRY_BUDGET_SHARE / instance_count
+        rates = budget_module.share_rates(
+            slack=settings.retry_slack,
+            window_s=settings.retry_window_s,
+            instance_count=instance_count,
         )
         self._budget.set_rates(
             ratio=settings.retry_ratio * const.RETRY_BUDGET_SHARE,
-            refill_per_s=slack / settings.retry_window_s,
-            capacity=max(2.0, slack),
+            refill_per_s=rates.refill_per_s,
+            capacity=rates.capacity,
         )
 
     def _adjust_limits(self) -> None:
--- a/packages/bambooring/src/bambooring/gateway/tests/test_retry_budget.py
+++ b/packages/bambooring/src/bambooring/gateway/tests/test_retry_budget.py
@@ -10,6 +10,7 @@
 
 from bambooring.gateway import entry
 from bambooring.gateway import messages as gateway
+from bambooring.routing import budget as budget_module
 from bambooring_core import clock as clock_module
 from bambooring_core import reactor as reactor_module
 
@@ -70,3 +71,43 @@
             RETRY_RATIO * sum(requests[start : start + window]) + RETRY_SLACK
         )
         assert sum(retries[start : start + window]) <= allowed
+
+
+@pytest.mark.parametrize('instances', [1, 18, 98, 250, 400, 900])
+def test_retries_of_a_large_fleet_with_few_requests(instances):
+    """Also bursts of hundreds of instances at once stay within the bound.
+
+    Pattern: a service fails at an hour with little traffic, so that nearly
+    all retries come from the slack.
+    """
+    slack, requests_a_step = 448.0, 4
+    rates = budget_module.share_rates(
+        slack=slack, window_s=WINDOW_S, instance_count=instances
+    )
+    budgets = []
+    for _ in range(instances):
+        budget = budget_module.RetryBudget(0.0, initial_tokens=0.0)
+        budget.set_rates(
+            ratio=RETRY_RATIO / 2,
+            refill_per_s=rates.refill_per_s,
+            capacity=rates.capacity,
+        )
+        budgets.append(budget)
+    retries = []
+    for step in range(round(4 * DURATION_S / STEP_S)):
+        now_s = 1000.0 + step * STEP_S
+        for number in range(requests_a_step):
+            budgets[(step + number) % instances].deposit()
+        is_failing = step % 300 >= 150
+        retries.append(
+            sum(
+                budget.try_withdraw(now_s)
+                for budget in budgets
+                for _ in range(3 if is_failing else 0)
+            )
+        )
+    window = round(WINDOW_S / STEP_S)
+    allowed = RETRY_RATIO * requests_a_step * window + slack
+    for start in range(len(retries) - window):
+        assert sum(retries[start : start + window]) <= allowed
+    assert instances > slack or sum(retries)
--- a/packages/bambooring/src/bambooring/routing/budget.py
+++ b/packages/bambooring/src/bambooring/routing/budget.py
@@ -5,9 +5,47 @@
 each request that it admits.
 """
 
+import dataclasses
+
 from bambooring.routing import const
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SharedRates:
+    """What one instance may spend of the retries that all share.
+
+    ``capacity`` is the burst, ``refill_per_s`` the rate in retries a second.
+    """
+
+    capacity: float
+    refill_per_s: float
+
+
+def share_rates(
+    *, slack: float, window_s: float, instance_count: int
+) -> SharedRates:
+    """Share the retries that are allowed beside those earned by requests.
+
+    In any window all bursts and all that is refilled may be spent, so their
+    sum must not exceed the slack. An instance whose burst is below 1 could
+    never retry; in a large fleet the bursts therefore leave less to refill.
+
+    :param slack: the retries that all instances may spend in a window
+    :param window_s: the window in seconds
+    :param instance_count: the number of instances
+    """
+    capacity = slack * const.BURST_SHARE / instance_count
+    if instance_count <= slack:
+        capacity = max(1.0, capacity)
+    refill = min(
+        slack * (1 - const.BURST_SHARE), slack - capacity * instance_count
+    )
+    return SharedRates(
+        capacity=capacity,
+        refill_per_s=max(0.0, refill) / instance_count / window_s,
+    )
+
+
 class RetryBudget:
     """Token bucket that decides whether a retry is allowed."""
 
