Read the state of a broken group's ranks more often

Cause: agents read the state each 0.6 s, so after an outage the leader knew of the opening 0.7 s late on the large site (opened at 39.9 s, first switch begun at 40.6 s); until then all ran with the first map.

Change: 0.1 s while the group is not open; unchanged states are reported as before. Test: test_state.py.

--- a/packages/agent/src/bambooring_agent/ranks/state.py
+++ b/packages/agent/src/bambooring_agent/ranks/state.py
@@ -13,6 +13,40 @@
     return const.COUNTS_POLL_INTERVAL_S * scale
 
 
+def get_state_interval_s(state: messages.RankState | None) -> float:
+    """Return how often the state of a rank is read, in seconds.
+
+    :param state: the last known state
+    """
+    if state is None or state.is_open:
+        return const.STATE_POLL_INTERVAL_S
+    return const.BROKEN_POLL_INTERVAL_S
+
+
+class StateReporter:
+    """Decide which states the leader needs to be told."""
+
+    __slots__ = ('_reported', '_reported_s')
+
+    def __init__(self) -> None:
+        self._reported: messages.RankState | None = None
+        self._reported_s = 0.0
+
+    def is_due(self, state: messages.RankState, now_s: float) -> bool:
+        """Return whether to report a state, and take it as reported if so.
+
+        A broken group is polled more often than it has to be reported.
+        """
+        is_known = not state.is_open and state == self._reported
+        # Polls come a little earlier or later than their interval.
+        half_s = const.STATE_POLL_INTERVAL_S / 2
+        if is_known and now_s - self._reported_s < half_s:
+            return False
+        self._reported = state
+        self._reported_s = now_s
+        return True
+
+
 class DemandMeter:
     """Computes the demand of one rank from its successive totals.
 
--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -61,6 +61,7 @@
         self._attendances: dict[links.Link, messages.Attendance] = {}
         self._state: messages.RankState | None = None
         self._held_experts: messages.HeldExperts | None = None
+        self._state_reporter = state_module.StateReporter()
         self._demand_meter = state_module.DemandMeter()
         self._is_reading_experts = False
         self._awaited_version = 0
@@ -179,7 +180,9 @@
         )
 
     def _poll_state(self) -> None:
-        self._reactor.call_later(const.STATE_POLL_INTERVAL_S, self._poll_state)
+        self._reactor.call_later(
+            state_module.get_state_interval_s(self._state), self._poll_state
+        )
         self._poll(self._dialect.make_state_call(), self._handle_state)
 
     def _is_switching(self) -> bool:
@@ -210,7 +213,8 @@
         if state is None:
             return
         self._state = state
-        self._send_to_leader(state)
+        if self._state_reporter.is_due(state, self._reactor.now()):
+            self._send_to_leader(state)
         if (
             state.version != state.layout_version
             and not self._is_reading_experts
--- a/packages/agent/src/bambooring_agent/ranks/tests/test_state.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_state.py
@@ -1,5 +1,6 @@
-"""Test the demand that is computed over restarts and epochs."""
+"""Test what a rank's agent reports, of its state and of its demand."""
 
+from bambooring_agent.ranks import const
 from bambooring_agent.ranks import state
 from bambooring_core.ranks import messages
 
@@ -57,3 +58,56 @@
     _record_totals(meter, [1, 0, 2])
     assert meter.latest_demand is not None
     assert messages.unpack_counts(meter.latest_demand.packed) == [1, 0, 2]
+
+
+def _make_state(is_open, step=7):
+    return messages.RankState(
+        target='side-0',
+        service='llm',
+        group='g',
+        epoch=1,
+        rank=0,
+        size=129,
+        is_open=is_open,
+        step=step,
+        version=0,
+        prepared=0,
+        armed=0,
+        held=messages.NOT_HELD,
+    )
+
+
+def test_opening_is_reported_soon():
+    """Pattern: a large group was out, and all its callers wait for a map.
+
+    The ranks are read often, but the leader is told little more often than
+    while the group is open, and of the opening at once.
+    """
+    reporter = state.StateReporter()
+    now_s, told = 0.0, 0
+    broken = _make_state(is_open=False)
+    while now_s < 6.0:
+        told += reporter.is_due(broken, now_s)
+        now_s += state.get_state_interval_s(broken)
+    assert told <= 2 * 6.0 / const.STATE_POLL_INTERVAL_S + 1
+    assert state.get_state_interval_s(broken) <= 0.1
+    assert reporter.is_due(_make_state(is_open=True), now_s)
+
+
+def test_open_group_is_reported_at_each_poll():
+    """The state of an open group is told each time, changed or not."""
+    reporter = state.StateReporter()
+    is_due = [reporter.is_due(_make_state(is_open=True), 0.0) for _ in '123']
+    assert is_due == [True] * 3
+
+
+def test_demand_is_reported_less_often_in_large_groups():
+    """The leader gets no more reports a second from more ranks."""
+    for size in (0, 12, const.RANKS_AT_FULL_RATE):
+        interval_s = state.compute_counts_interval_s(size)
+        assert interval_s == const.COUNTS_POLL_INTERVAL_S
+    for size in (129, 256, 660):
+        rate = size / state.compute_counts_interval_s(size)
+        assert rate <= 1.01 * (
+            const.RANKS_AT_FULL_RATE / const.COUNTS_POLL_INTERVAL_S
+        )
