Count only prompts that are still unread between equal targets

Cause: targets with equally many requests were told apart by prompt and ten times the expected answer, also long after the prompt was read.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -4,8 +4,9 @@
 running there: this instance counts its own, the others report theirs in
 datagrams (``bambooring.loads``). The ranks of a model group run in lock-step, so a rank with more
 requests than the others slows all of them down. Targets are therefore
-compared by running requests per slot first; ties are broken by the tokens of
-these requests.
+compared by running requests per slot first. A rank reads prompts one after the
+other, a part in each pass, so ties are broken by the tokens that a target has
+still to read: they delay the first event of whatever comes behind them.
 """
 
 import collections.abc
@@ -294,7 +295,7 @@
         """Count a request that is sent to a target.
 
         :param target_id: the target
-        :param tokens: the tokens of the request, as estimated
+        :param tokens: the tokens of its prompt
         """
         load = self._own_loads.setdefault(
             target_id, peers_module.RunningLoad()
@@ -302,11 +303,19 @@
         load.running += 1
         load.tokens += tokens
 
+    def record_prompt_read(self, target_id: str, tokens: int) -> None:
+        """Stop counting a prompt as unread; its request goes on.
+
+        :param target_id: the target
+        :param tokens: the tokens that the request was added with
+        """
+        self._own_loads[target_id].tokens -= tokens
+
     def remove_request(self, target_id: str, tokens: int) -> None:
         """Stop counting a request of this instance at a target.
 
         :param target_id: the target
-        :param tokens: the tokens that the request was added with
+        :param tokens: the tokens of its prompt, 0 if they have been read
         """
         load = self._own_loads[target_id]
         load.running -= 1
--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -71,6 +71,8 @@
         self.last_event_at_s: float | None = None
         self.response: messages.TargetResponse | None = None
         self.buffered_body = bytearray()
+        # The tokens of the prompt until the target has read them.
+        self.unread_tokens = request.prompt_tokens
         self.is_over = False
         self.is_forwarding = False
         self.call = make_call(
@@ -80,11 +82,6 @@
             connect_timeout_s=const.CONNECT_TIMEOUT_S,
         )
 
-    @property
-    def tokens(self) -> int:
-        """Return the estimated work of the request, in tokens."""
-        return self._request.tokens
-
     @property
     def may_have_run(self) -> bool:
         """Return whether the target may have begun to run the request."""
--- a/packages/bambooring/src/bambooring/forwarding/messages.py
+++ b/packages/bambooring/src/bambooring/forwarding/messages.py
@@ -13,8 +13,8 @@
     ``request_target`` is the path with the query, as in the request line.
     ``time_left_s`` is how long the caller waits, counted from the request's
     head, None if it doesn't say. ``last_event_id`` is the last event of a
-    stream that the caller already has. ``tokens`` estimates the work of the
-    prompt and the answer.
+    stream that the caller already has. ``prompt_tokens`` is the size of the
+    prompt, 1 if it isn't known.
     """
 
     attempt_id: str
@@ -25,7 +25,7 @@
     api_key: str | None
     time_left_s: float | None
     last_event_id: int | None
-    tokens: int
+    prompt_tokens: int
     headers: http1.Headers
     body: bytes
 
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -62,6 +62,9 @@
     def eject_target(self, target_id: str, reason: str) -> None:
         """Exclude a failed target from new requests for a while."""
 
+    def record_prompt_read(self, attempt: attempt_module.Attempt) -> None:
+        """Record that a target has read an attempt's prompt."""
+
     def remove_request(self, pending: 'PendingRequest') -> None:
         """Forget a request that has ended."""
 
@@ -257,6 +260,7 @@
         self, attempt: attempt_module.Attempt, complete_events: bytes
     ) -> None:
         now_s = self._forwarder.reactor.now()
+        self._forwarder.record_prompt_read(attempt)
         if not self.progress.is_response_started:
             self._start_response(attempt)
         if attempt.last_event_at_s is not None:
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -290,7 +290,7 @@
         headers = self._dialect.write_attempt_headers(
             pending.request, pending.make_attempt_metadata(choice.target.id)
         )
-        self.balancer.add_request(choice.target.id, pending.request.tokens)
+        self.balancer.add_request(choice.target.id, attempt.unread_tokens)
         self.report_load()
         LOG.info(
             'request sent to target',
@@ -315,10 +315,20 @@
 
         A queued request may then use the free slot.
         """
-        self.balancer.remove_request(attempt.target.id, attempt.tokens)
+        self.balancer.remove_request(attempt.target.id, attempt.unread_tokens)
         self._schedule_load_report(balancing_const.FREED_SLOT_REPORT_DELAY_S)
         self.reactor.call_soon(self.dispatch_queued)
 
+    def record_prompt_read(self, attempt: attempt_module.Attempt) -> None:
+        """Record that a target has read an attempt's prompt."""
+        if not attempt.unread_tokens:
+            return
+        self.balancer.record_prompt_read(
+            attempt.target.id, attempt.unread_tokens
+        )
+        attempt.unread_tokens = 0
+        self._schedule_load_report(balancing_const.FREED_SLOT_REPORT_DELAY_S)
+
     def report_load(self) -> None:
         """Report the changed load to the other entry instances at once."""
         self._schedule_load_report(0.0)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
@@ -40,7 +40,7 @@
         api_key=key,
         time_left_s=8.0,
         last_event_id=None,
-        tokens=100,
+        prompt_tokens=100,
         headers=[],
         body=b'',
     )
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
@@ -42,7 +42,7 @@
             api_key=None,
             time_left_s=float(request.get(b'left') or b'5'),
             last_event_id=None,
-            tokens=1,
+            prompt_tokens=1,
             headers=request.headers,
             body=request.body,
         )
--- a/packages/bambooring/src/bambooring/loads/peers.py
+++ b/packages/bambooring/src/bambooring/loads/peers.py
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class RunningLoad:
-    """Count the requests running at a target, and their tokens."""
+    """Count the requests running at a target, and their unread tokens."""
 
     running: int = 0
     tokens: int = 0
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -116,7 +116,7 @@
 class TargetLoad:
     """The requests that one entry instance has running at a target.
 
-    ``tokens`` is the total over these requests.
+    ``tokens`` is the total of the prompts that the target has still to read.
     """
 
     target: str
