Plan a map set by set, with other work in between

Change: the leader plans one set, then does what else is due. A plan is dropped if the epoch or the map in force changed meanwhile, or a rank fell silent.

--- a/packages/bambooring/src/bambooring/experts/placement.py
+++ b/packages/bambooring/src/bambooring/experts/placement.py
@@ -294,39 +294,92 @@
     )
 
 
+class MapPlanner:
+    """Plan the sets of layers one by one, the most imbalanced ones first.
+
+    Planning a large group takes a while in which its process would do nothing
+    else. The caller can do other work between the sets. The sets share the
+    limit on copies, so the first ones get most of it.
+    """
+
+    __slots__ = (
+        '_copies_left',
+        '_demand',
+        '_layouts',
+        '_limits',
+        '_order',
+        '_plans',
+        '_slowdowns',
+    )
+
+    def __init__(
+        self,
+        layouts: list[Layout],
+        demand: list[Loads],
+        limits: Limits,
+        slowdowns: list[float],
+    ) -> None:
+        """Begin to plan.
+
+        :param layouts: the current layout of each set
+        :param demand: by set, the load of each expert
+        :param limits: the limits of one switch
+        :param slowdowns: by rank, how many times longer than a healthy rank
+            it takes for the same load
+        """
+        self._layouts = layouts
+        self._demand = [list(loads) for loads in demand]
+        self._limits = limits
+        self._slowdowns = slowdowns
+        self._copies_left = [limits.max_copies] * len(slowdowns)
+        self._plans: dict[int, SetPlan] = {}
+        self._order = iter(_order_by_imbalance(layouts, demand, slowdowns))
+
+    def plan_next(self) -> list[SetPlan] | None:
+        """Plan the next set.
+
+        :returns: the plans in the order of the sets once all are made
+        """
+        index = next(self._order, None)
+        if index is not None:
+            self._plan_set(index)
+        if len(self._plans) < len(self._layouts):
+            return None
+        return [self._plans[index] for index in range(len(self._layouts))]
+
+    def _plan_set(self, index: int) -> None:
+        layout = self._layouts[index]
+        plan = plan_set(
+            layout,
+            self._demand[index],
+            self._limits,
+            self._slowdowns,
+            [
+                min(self._limits.spare_slots, copies)
+                for copies in self._copies_left
+            ],
+        )
+        self._plans[index] = plan
+        for rank, (new, old) in enumerate(
+            zip(plan.layout, layout, strict=True)
+        ):
+            self._copies_left[rank] -= len(set(new) - set(old))
+
+
 def plan_map(
     layouts: list[Layout],
     demand: list[Loads],
     limits: Limits,
     slowdowns: list[float],
 ) -> list[SetPlan]:
-    """Plan every set of layers, the most imbalanced ones first.
+    """Plan every set of layers at once, see :class:`MapPlanner`.
 
-    The sets share the limit on copies, so the first ones get most of it.
-
-    :param layouts: the current layout of each set
-    :param demand: by set, the load of each expert
-    :param limits: the limits of one switch
-    :param slowdowns: by rank, how many times longer than a healthy rank it
-        takes for the same load
     :returns: the plans in the order of the sets
     """
-    copies_left = [limits.max_copies] * len(slowdowns)
-    plans: dict[int, SetPlan] = {}
-    for index in _order_by_imbalance(layouts, demand, slowdowns):
-        plan = plan_set(
-            layouts[index],
-            demand[index],
-            limits,
-            slowdowns,
-            [min(limits.spare_slots, copies) for copies in copies_left],
-        )
-        plans[index] = plan
-        for rank, (new, old) in enumerate(
-            zip(plan.layout, layouts[index], strict=True)
-        ):
-            copies_left[rank] -= len(set(new) - set(old))
-    return [plans[index] for index in range(len(layouts))]
+    planner = MapPlanner(layouts, demand, limits, slowdowns)
+    while (plans := planner.plan_next()) is None:
+        pass
+    return plans
 
 
 def _order_by_imbalance(
--- a/packages/bambooring/src/bambooring/experts/rebalancer_types.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancer_types.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+from bambooring.experts import placement
 from bambooring_core.ranks import messages as ranks
 
 
@@ -73,7 +74,12 @@
     detail: str = ''
 
 
-Effects = collections.abc.Iterator[SendOrder | ReportEvent]
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ContinuePlanning:
+    """Ask the caller to call ``continue_planning`` after other work."""
+
+
+Effects = collections.abc.Iterator[SendOrder | ReportEvent | ContinuePlanning]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -100,6 +106,15 @@
     is_relayed: bool = False
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Planning:
+    """A plan in the making, for the map ``version`` of an epoch."""
+
+    planner: placement.MapPlanner
+    epoch: int
+    version: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Switch:
     """Track a switch that is under way, or a stray hold to clear up.
--- a/packages/bambooring/src/bambooring/experts/rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancing.py
@@ -62,6 +62,7 @@
         self._engine_spec = engine_spec
         self._rank_info: dict[int, rebalancer_types.RankInfo] = {}
         self._switch: rebalancer_types.Switch | None = None
+        self._planning: rebalancer_types.Planning | None = None
         # Keyed by the number of the order and the rank.
         self._pending: dict[
             tuple[int, int], rebalancer_types.PendingOrder
@@ -212,6 +213,7 @@
         """End the switch, and pause before the next plan."""
         self.phase = rebalancer_types.Phase.IDLE
         self._switch = None
+        self._planning = None
         self._pending.clear()
         self._stray_hold_since_s = None
         self._next_plan_s = now_s + pause_s
@@ -249,9 +251,9 @@
         self._stray_hold_since_s = None
         if now_s < self._next_plan_s or not _are_ranks_in_sync(states):
             return
-        if not self.demand.has_demand:
+        if self._planning is not None or not self.demand.has_demand:
             return
-        yield from self._plan_switch(states, now_s)
+        yield from self._begin_planning(states)
 
     def _check_stray_hold(
         self, state: ranks.RankState, now_s: float
@@ -282,19 +284,60 @@
         )
         self.phase = rebalancer_types.Phase.SETTLING
 
-    def _plan_switch(
-        self, states: dict[int, ranks.RankState], now_s: float
+    def _begin_planning(
+        self, states: dict[int, ranks.RankState]
     ) -> rebalancer_types.Effects:
-        """Begin a switch to a new map if that shortens the passes enough."""
-        plans = placement.plan_map(
-            [
-                [states[rank].layout[index].experts for rank in sorted(states)]
-                for index in range(len(self.demand.loads_by_set))
-            ],
-            self.demand.loads_by_set,
-            self._make_limits(),
-            [states[rank].pace for rank in sorted(states)],
+        """Begin to plan the next map."""
+        self._planning = rebalancer_types.Planning(
+            planner=placement.MapPlanner(
+                [
+                    [
+                        states[rank].layout[index].experts
+                        for rank in sorted(states)
+                    ]
+                    for index in range(len(self.demand.loads_by_set))
+                ],
+                self.demand.loads_by_set,
+                self._make_limits(),
+                [states[rank].pace for rank in sorted(states)],
+            ),
+            epoch=states[0].epoch,
+            version=states[0].version,
         )
+        yield rebalancer_types.ContinuePlanning()
+
+    def continue_planning(self, now_s: float) -> rebalancer_types.Effects:
+        """Plan one more set of layers, and begin a switch after the last one.
+
+        The plan is dropped if the map or the epoch changed meanwhile.
+        """
+        planning = self._planning
+        if planning is None:
+            return
+        plans = planning.planner.plan_next()
+        if plans is None:
+            yield rebalancer_types.ContinuePlanning()
+            return
+        self._planning = None
+        states = self._get_fresh_states(now_s)
+        if (
+            self.phase is not rebalancer_types.Phase.IDLE
+            or states is None
+            or not _are_ranks_in_sync(states)
+            or states[0].epoch != planning.epoch
+            or states[0].version != planning.version
+        ):
+            self._next_plan_s = now_s + const.PLAN_PAUSE_AFTER_PARTIAL_S
+            return
+        yield from self._begin_switch(states, plans, now_s)
+
+    def _begin_switch(
+        self,
+        states: dict[int, ranks.RankState],
+        plans: list[placement.SetPlan],
+        now_s: float,
+    ) -> rebalancer_types.Effects:
+        """Begin a switch to a new map if that shortens the passes enough."""
         speedup = self._estimate_speedup(plans)
         self._next_plan_s = now_s + const.PLAN_PAUSE_S
         if speedup < const.MIN_SPEEDUP:
--- a/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
@@ -138,6 +138,8 @@
         self.events = []
         self.frozen_until_s = [0.0] * RANKS
         self.freeze_share = 0.0
+        # The longest time that the plan of one set of layers takes.
+        self.planning_s = 0.01
         self.scheduled = []
         self.sequence = itertools.count()
 
@@ -160,6 +162,15 @@
             if isinstance(effect, rebalancer_types.ReportEvent):
                 self.events.append(effect.event)
                 continue
+            if isinstance(effect, rebalancer_types.ContinuePlanning):
+                self.schedule(
+                    self.rng.uniform(0.0005, self.planning_s),
+                    lambda: self.apply_effects(
+                        coordinator,
+                        coordinator.continue_planning(self.now_s),
+                    ),
+                )
+                continue
             send = self.relay_order if effect.is_relayed else self.send_order
             self.schedule(
                 self.rng.uniform(0.001, 0.02),
--- a/packages/bambooring/src/bambooring/gateway/groups.py
+++ b/packages/bambooring/src/bambooring/gateway/groups.py
@@ -197,6 +197,11 @@
                         )
                     elif link is not None:
                         link.send_frame(encoder.encode(effect.order))
+                case rebalancer_types.ContinuePlanning():
+                    self._reactor.call_later(
+                        0.0,
+                        functools.partial(self._continue_planning, rebalancer),
+                    )
                 case rebalancer_types.ReportEvent():
                     metrics.MAP_SWITCH_EVENTS.labels(event=effect.event).inc()
                     LOG.info(
@@ -210,6 +215,13 @@
                         detail=effect.detail,
                     )
 
+    def _continue_planning(self, rebalancer: rebalancing.Rebalancer) -> None:
+        """Go on with a plan, unless this replica no longer leads the group."""
+        if self._rebalancers.get(rebalancer.group) is rebalancer:
+            self._carry_out(
+                rebalancer, rebalancer.continue_planning(self._reactor.now())
+            )
+
     def _relay_order(
         self,
         group: str,
