--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -54,7 +54,7 @@
 # In requests per target.
 LIMIT_DECREMENT: typing.Final = 0.5
 LIMIT_INCREMENT: typing.Final = 0.25
-LIMIT_MIN: typing.Final = 1.0
+LIMIT_MIN: typing.Final = 2.0
 
 # Weight of the newest sample in the moving average of a service's request
 # durations, and the duration assumed before the first sample.
