Split the pending request's protocol and error responses off

What it uses of its forwarder, the error responses and the total timeout are modules and functions of their own; nothing behaves otherwise.

--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -256,3 +256,13 @@
         )
     status = 504 if reason is const.Reason.TIMEOUT else 502
     return messages.ErrorResponse(status=status, reason=reason)
+
+
+def get_total_timeout_s(
+    request: messages.CallerRequest, route: policy.Route
+) -> float:
+    """Return the longest time from receipt to response, in seconds."""
+    total_s = route.timeout_s
+    if request.time_left_s is not None:
+        total_s = min(total_s, request.time_left_s - const.DEADLINE_MARGIN_S)
+    return max(0.0, total_s)
--- /dev/null
+++ b/packages/bambooring/src/bambooring/forwarding/forwarder.py
@@ -0,0 +1,74 @@
+"""Describe what pending requests use of the forwarder that owns them."""
+
+import typing
+
+from bambooring.balancing import state as balancing
+from bambooring.forwarding import attempt as attempt_module
+from bambooring.forwarding import fairness as fairness_module
+from bambooring.forwarding import messages
+from bambooring.forwarding import stalls
+from bambooring_core.http1 import messages as http1
+from bambooring_core import reactor as reactor_module
+
+if typing.TYPE_CHECKING:
+    from bambooring.forwarding import pending_request
+
+
+class Forwarder(typing.Protocol):
+    """The part of the forwarder that pending requests use."""
+
+    reactor: reactor_module.Reactor
+    balancer: balancing.Balancer
+    fairness: fairness_module.FairnessTracker
+    event_log: stalls.EventLog
+
+    def start_attempt(
+        self,
+        pending: 'pending_request.PendingRequest',
+        choice: balancing.Choice,
+    ) -> attempt_module.Attempt:
+        """Send a request to a target."""
+
+    def read_response_head(
+        self, head: http1.ResponseHead
+    ) -> messages.TargetResponse:
+        """Decode the head of a target's response."""
+
+    def dispatch_or_queue(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> None:
+        """Send a request to a target, or queue it until a slot is free."""
+
+    def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
+        """Return whether a target could take a request now."""
+
+    def remove_from_queue(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> None:
+        """Remove a request from its queue, if it is queued."""
+
+    def spend_retry(self, reason: str) -> bool:
+        """Take a retry from the retry budget.
+
+        :param reason: why the request is retried, as a metric label
+        :returns: whether the budget allows it
+        """
+
+    def release_attempt(self, attempt: attempt_module.Attempt) -> None:
+        """Remove an ended attempt from its target's load."""
+
+    def eject_target(self, target_id: str, reason: str) -> None:
+        """Exclude a failed target from new requests for a while."""
+
+    def record_prompt_read(self, attempt: attempt_module.Attempt) -> None:
+        """Record that a target has read an attempt's prompt."""
+
+    def remove_request(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> None:
+        """Forget a request that has ended."""
+
+    def get_retry_after_s(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> float:
+        """Return after how many seconds a rejected caller should retry."""
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -1,7 +1,5 @@
 """Process one caller's request until it has its final response."""
 
-import typing
-
 import structlog
 
 from bambooring.balancing import state as balancing
@@ -11,8 +9,9 @@
 from bambooring.forwarding import decisions
 from bambooring.forwarding import errors
 from bambooring.forwarding import events
-from bambooring.forwarding import fairness as fairness_module
+from bambooring.forwarding import forwarder as forwarder_module
 from bambooring.forwarding import messages
+from bambooring.forwarding import rejections
 from bambooring.forwarding import stalls
 from bambooring import metrics
 from bambooring_core.http1 import messages as http1
@@ -22,56 +21,6 @@
 LOG = structlog.get_logger(__name__)
 
 
-class Forwarder(typing.Protocol):
-    """The part of the forwarder that pending requests use."""
-
-    reactor: reactor_module.Reactor
-    balancer: balancing.Balancer
-    fairness: fairness_module.FairnessTracker
-    event_log: stalls.EventLog
-
-    def start_attempt(
-        self, pending: 'PendingRequest', choice: balancing.Choice
-    ) -> attempt_module.Attempt:
-        """Send a request to a target."""
-
-    def read_response_head(
-        self, head: http1.ResponseHead
-    ) -> messages.TargetResponse:
-        """Decode the head of a target's response."""
-
-    def dispatch_or_queue(self, pending: 'PendingRequest') -> None:
-        """Send a request to a target, or queue it until a slot is free."""
-
-    def may_dispatch(self, pending: 'PendingRequest') -> bool:
-        """Return whether a target could take a request now."""
-
-    def remove_from_queue(self, pending: 'PendingRequest') -> None:
-        """Remove a request from its queue, if it is queued."""
-
-    def spend_retry(self, reason: str) -> bool:
-        """Take a retry from the retry budget.
-
-        :param reason: why the request is retried, as a metric label
-        :returns: whether the budget allows it
-        """
-
-    def release_attempt(self, attempt: attempt_module.Attempt) -> None:
-        """Remove an ended attempt from its target's load."""
-
-    def eject_target(self, target_id: str, reason: str) -> None:
-        """Exclude a failed target from new requests for a while."""
-
-    def record_prompt_read(self, attempt: attempt_module.Attempt) -> None:
-        """Record that a target has read an attempt's prompt."""
-
-    def remove_request(self, pending: 'PendingRequest') -> None:
-        """Forget a request that has ended."""
-
-    def get_retry_after_s(self, pending: 'PendingRequest') -> float:
-        """Return after how many seconds a rejected caller should retry."""
-
-
 class PendingRequest:
     """A caller's request until it has its final response.
 
@@ -83,7 +32,7 @@
     def __init__(
         self,
         *,
-        forwarder: Forwarder,
+        forwarder: forwarder_module.Forwarder,
         exchange: server.Exchange,
         request: messages.CallerRequest,
         admission: decisions.Admission,
@@ -105,7 +54,7 @@
         self.progress = decisions.Progress()
         self.tried_targets: set[str] = set()
         self.received_s = exchange.request.received_s
-        self.deadline_s = self.received_s + _get_total_timeout_s(
+        self.deadline_s = self.received_s + decisions.get_total_timeout_s(
             request, self.route
         )
         self.queue_deadline_s = self.deadline_s
@@ -514,7 +463,7 @@
             reason,
             self._forwarder.get_retry_after_s(self),
         )
-        send_error(self._exchange, error_response)
+        rejections.send_error(self._exchange, error_response)
         self._finish(error_response.reason, error_response.status)
 
     def _forward_failed_response(
@@ -559,32 +508,3 @@
                 deadline_s=self.deadline_s,
             )
         )
-
-
-def _get_total_timeout_s(
-    request: messages.CallerRequest, route: typing.Any
-) -> float:
-    """Return the longest time from receipt to response, in seconds."""
-    total_s = route.timeout_s
-    if request.time_left_s is not None:
-        total_s = min(total_s, request.time_left_s - const.DEADLINE_MARGIN_S)
-    return max(0.0, total_s)
-
-
-def send_error(
-    exchange: server.Exchange, error_response: messages.ErrorResponse
-) -> None:
-    """Send an error response that this instance generates to a caller.
-
-    :param exchange: the caller's exchange
-    :param error_response: the response
-    """
-    metrics.REFUSALS.labels(
-        reason=str(error_response.reason), outcome=str(error_response.status)
-    ).inc()
-    headers: http1.Headers = [(b'Content-Type', b'text/plain')]
-    if error_response.retry_after_s is not None:
-        value = f'{error_response.retry_after_s:.3f}'
-        headers.append((b'Retry-After', value.encode()))
-    body = f'{error_response.reason}\n'.encode()
-    exchange.respond(error_response.status, headers, body)
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -15,6 +15,7 @@
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import pending_request
+from bambooring.forwarding import rejections
 from bambooring.forwarding import stalls
 from bambooring import metrics
 from bambooring.policy import lease as lease_module
@@ -122,7 +123,7 @@
         error_response: messages.ErrorResponse,
         detail: str = '',
     ) -> None:
-        pending_request.send_error(exchange, error_response)
+        rejections.send_error(exchange, error_response)
         lease_age_s = self._lease.get_age_s(self._lease_clock.now())
         LOG.info(
             'request refused',
