--- a/packages/bambooring/src/bambooring/balancing/groups.py
+++ b/packages/bambooring/src/bambooring/balancing/groups.py
@@ -42,11 +42,13 @@
         self._slowdowns: dict[str, list[float]] = {}
         self._slowdowns_received_s: dict[str, float] = {}
 
-    def update_broken_groups(self, by_service: TargetsByService) -> None:
+    def update_broken_groups(self, by_service: TargetsByService) -> set[str]:
         """Find the broken groups from what their ranks last reported.
 
         :param by_service: the usable targets by service and id
+        :returns: the services whose groups have opened again
         """
+        broken_before = set(self._broken_epochs)
         self._broken_epochs = {}
         for service, service_targets in by_service.items():
             ranks = [
@@ -61,6 +63,7 @@
                 if target.group_epoch == epoch
             ):
                 self._broken_epochs[service] = epoch
+        return broken_before - self._broken_epochs.keys()
 
     def is_broken(self, service: str) -> bool:
         """Return whether a service's group is reported as broken."""
@@ -79,15 +82,19 @@
                 now_s + const.BROKEN_GROUP_PROBE_INTERVAL_S
             )
 
-    def record_response_started(self, service: str) -> None:
+    def record_response_started(self, service: str) -> bool:
         """Record that a target started a response, so its group is open.
 
         Further reports that the group is broken in the same epoch are
         ignored.
+
+        :returns: whether the group was reported as broken
         """
         epoch = self._broken_epochs.pop(service, None)
-        if epoch is not None:
-            self._disproved_epochs[service] = epoch
+        if epoch is None:
+            return False
+        self._disproved_epochs[service] = epoch
+        return True
 
     def update_slowdowns(
         self, group_paces: targets.GroupPaces, now_s: float
--- a/packages/bambooring/src/bambooring/balancing/limit.py
+++ b/packages/bambooring/src/bambooring/balancing/limit.py
@@ -73,6 +73,13 @@
         elif ratio < const.GAP_LOW_RATIO:
             self._increase(slots)
 
+    def restart(self) -> None:
+        """Begin with the lowest limit, because the service was out.
+
+        All callers that waited come at once, and the service is slow at first.
+        """
+        self.max_requests = min(self.max_requests, const.LIMIT_MIN)
+
     def _increase(self, slots: int) -> None:
         self.max_requests += const.LIMIT_INCREMENT
         if self.max_requests > slots:
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -94,7 +94,8 @@
         for target in usable_targets:
             by_service.setdefault(target.service, {})[target.id] = target
         self._targets_by_service = by_service
-        self._groups.update_broken_groups(by_service)
+        for service in self._groups.update_broken_groups(by_service):
+            self._get_limit(service).restart()
         known_ids = {
             target_id
             for service_targets in by_service.values()
@@ -215,11 +216,12 @@
         :param gap_s: the gap in seconds
         :param accepted_gap_s: the longest gap that the caller accepts
         """
-        limit = self._limits_by_service.get(service)
-        if limit is None:
-            limit = limit_module.ConcurrencyLimit()
-            self._limits_by_service[service] = limit
-        limit.add_gap(gap_s, accepted_gap_s)
+        self._get_limit(service).add_gap(gap_s, accepted_gap_s)
+
+    def _get_limit(self, service: str) -> limit_module.ConcurrencyLimit:
+        return self._limits_by_service.setdefault(
+            service, limit_module.ConcurrencyLimit()
+        )
 
     def adjust_limits(self) -> dict[str, float]:
         """Adjust the concurrency limits of services with streams.
@@ -356,7 +358,8 @@
     def record_response_started(self, service: str) -> None:
         """Record that a target of a service has started a response."""
         self._consecutive_refusals.pop(service, None)
-        self._groups.record_response_started(service)
+        if self._groups.record_response_started(service):
+            self._get_limit(service).restart()
 
     def record_refusal(
         self, target_id: str, service: str, now_s: float
