Bound one event at 64 KiB

Cause: a process with 200 streams whose targets send one event without an end peaked at 60 to 64 MB with 128 KiB an event; 60 MB are asked for.

Test: tests/test_memory.py reads the peak of a process of its own; it failed three times of three with 128 KiB and passes three of three now.

--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -51,7 +51,7 @@
 
 # A stream whose target sends more than this without the end of an event is
 # broken off. An instance has to have room for it once for each of its streams.
-MAX_EVENT_BYTES: typing.Final = 128 * 1024
+MAX_EVENT_BYTES: typing.Final = 64 * 1024
 
 # A stream that has begun and can be resumed goes on at another target if it
 # gets no event for this share of the time after which callers give it up,
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -73,9 +73,7 @@
             lease_clock=self._lease_clock,
             budget=self._budget,
             rng=rng,
-            schedule_load_report=lambda delay_s: (
-                self._load_reporter.schedule_report(delay_s)
-            ),
+            schedule_load_report=self._schedule_load_report,
         )
         self._load_reporter = loads_task.LoadReporter(
             reactor=reactor,
@@ -413,6 +411,9 @@
             self._logged_limits = limits
         self.forwarder.dispatch_queued()
 
+    def _schedule_load_report(self, delay_s: float) -> None:
+        self._load_reporter.schedule_report(delay_s)
+
     def _make_load_report(self) -> targets.Load:
         return self._balancer.make_load_report(
             self._settings.link_address,
