Sum up a target's load once for each choice

Cause: choosing a target added up the load of each candidate three times, with remote and near reports, on the way of every request; and whether a report comes from another domain was looked up in a list a domain.

Change: one sum a candidate, one set of addresses. Nothing is decided otherwise.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -126,9 +126,9 @@
             return None
         candidates = self._list_candidates(service, now_s, excluded_ids)
         scored_candidates = [
-            (self._score(target), target)
+            (self._score(target, load), target)
             for target in candidates
-            if self._has_room(target)
+            if self._has_room(target, load := self._sum_load(target.id))
         ]
         if not scored_candidates:
             return None
@@ -166,22 +166,26 @@
         ]
         return healthy or available
 
-    def _score(self, target: targets.Target) -> tuple[float, int, bool, float]:
+    def _score(
+        self, target: targets.Target, load: peers_module.RunningLoad
+    ) -> tuple[float, int, bool, float]:
         """Return the sort key of a target; the lowest is chosen.
 
         Between targets with the same load, those in this instance's failure
         domain come first; the remaining ties are broken at random.
         """
-        running = self.count_running(target.id) + 1
+        running = load.running + 1
         slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
         return (
             running * self._groups.get_slowdown(target) / slots,
-            self._count_tokens(target.id),
+            load.tokens,
             target.failure_domain != self._failure_domain,
             self._rng.random(),
         )
 
-    def _has_room(self, target: targets.Target) -> bool:
+    def _has_room(
+        self, target: targets.Target, load: peers_module.RunningLoad
+    ) -> bool:
         """Return whether a target may get one more request.
 
         Each request at a slow rank counts as many requests as the rank's
@@ -193,7 +197,7 @@
         limit = self._limits_by_service.get(target.service)
         if limit is not None:
             max_running = min(max_running, limit.max_requests)
-        running = self.count_running(target.id) + 1
+        running = load.running + 1
         return running * self._groups.get_slowdown(target) <= max_running
 
     def update_slowdowns(
@@ -260,14 +264,18 @@
 
     def count_running(self, target_id: str) -> int:
         """Return how many requests all instances have running at a target."""
-        own_load = self._own_loads.get(target_id)
-        count = self.loads.get_load(target_id).running
-        return count + own_load.running if own_load else count
+        return self._sum_load(target_id).running
 
-    def _count_tokens(self, target_id: str) -> int:
+    def _sum_load(self, target_id: str) -> peers_module.RunningLoad:
+        """Return what all instances have running at a target."""
+        load = self.loads.get_load(target_id)
         own_load = self._own_loads.get(target_id)
-        count = self.loads.get_load(target_id).tokens
-        return count + own_load.tokens if own_load else count
+        if own_load is None:
+            return load
+        return peers_module.RunningLoad(
+            running=load.running + own_load.running,
+            tokens=load.tokens + own_load.tokens,
+        )
 
     def get_capacity(self, service: str, now_s: float) -> ServiceCapacity:
         """Return a service's capacity, use and number of targets."""
--- a/packages/bambooring/src/bambooring/loads/exchange.py
+++ b/packages/bambooring/src/bambooring/loads/exchange.py
@@ -66,6 +66,7 @@
         )
         self._near_addresses: list[str] = []
         self._remote_domains: dict[str, list[str]] = {}
+        self._remote_addresses: set[str] = set()
         self._was_relay = False
         self._undistributed: list[messages.DomainLoad] = []
         self._relay_versions: dict[str, tuple[int, int]] = {}
@@ -103,8 +104,12 @@
             else:
                 self._remote_domains.setdefault(domain, []).append(address)
         self._election.set_members(self._near_addresses)
-        for members in self._remote_domains.values():
-            self._loads.drop_reports(members)
+        self._remote_addresses = {
+            address
+            for members in self._remote_domains.values()
+            for address in members
+        }
+        self._loads.drop_reports(self._remote_addresses)
 
     def handle(
         self, message: typing.Any, now_s: float, boot_now_s: float
@@ -129,9 +134,7 @@
         return Outcome.ACCEPTED if is_new else Outcome.REPEATED
 
     def _is_remote(self, address: str) -> bool:
-        return any(
-            address in members for members in self._remote_domains.values()
-        )
+        return address in self._remote_addresses
 
     def _handle_summary(
         self, summary: messages.DomainLoad, now_s: float, boot_now_s: float
