Poll an engine over a connection that is younger than the last order

Cause: agents poll their engine over one kept connection. A second copy of an answer that comes when the next poll has been sent is taken for its answer, so a state from before an order could be reported as the state after it, from which the leader concludes which ranks are armed. Found on reading the change again; shown by test_late_copy_of_an_older_state, which failed before. And a poll's body had no bound but its time limit (3 cases of test_kept.py failed before).

The codec's look-ups stand once.

--- a/packages/agent/src/bambooring_agent/ranks/calls.py
+++ b/packages/agent/src/bambooring_agent/ranks/calls.py
@@ -4,6 +4,7 @@
 
 from bambooring_agent.ranks import const
 from bambooring_core.http1 import client
+from bambooring_core.http1 import const as http1_const
 from bambooring_core.http1 import errors as http1_errors
 from bambooring_core.http1 import messages as http1
 from bambooring_core.ranks import messages
@@ -43,8 +44,10 @@
         self._status = head.status
 
     def handle_response_data(self, data: bytes) -> None:
-        """Add a part of the body."""
+        """Add a part of the body; abort a call whose body has no end."""
         self._body += data
+        if len(self._body) > http1_const.MAX_BODY_BYTES:
+            self._expire()
 
     def handle_response_end(self) -> None:
         """Pass on the complete response."""
--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -53,11 +53,7 @@
         self._hub = make_hub(
             reactor=reactor, identity=identity, key=settings.key, handler=self
         )
-        self._poll_connection = kept.KeptConnection(
-            reactor=reactor,
-            address=settings.engine_address,
-            timeout_s=const.CALL_TIMEOUT_S,
-        )
+        self._poll_connection = self._make_connection()
         self._attendances: dict[links.Link, messages.Attendance] = {}
         self._state: messages.RankState | None = None
         self._held_experts: messages.HeldExperts | None = None
@@ -147,25 +143,35 @@
             if attendance.is_leader:
                 link.send(message)
 
+    def _make_connection(self) -> kept.KeptConnection:
+        return kept.KeptConnection(
+            reactor=self._reactor,
+            address=self._settings.engine_address,
+            timeout_s=const.CALL_TIMEOUT_S,
+        )
+
     def _send_order(
-        self,
-        address: str,
-        order: messages.RankOrder,
-        callback: calls.ResponseCallback,
-        target_id: str = '',
+        self, order: messages.RankOrder, callback: calls.ResponseCallback
     ) -> None:
-        """Send an order over a connection of its own, exactly once.
+        """Send an order to the own engine, exactly once.
+
+        It goes over a new connection, over which the engine is polled from
+        then on: nothing that the engine told before the order, not even a late
+        copy of it, can be taken for its state after the order.
 
-        :param address: the engine's address
         :param order: the order
         :param callback: is called with the response
-        :param target_id: the only target that may carry out the order
         """
-        calls.EngineCall(
-            self._reactor,
-            address,
-            self._dialect.make_order_call(order, target_id),
-            callback,
+        connection = self._make_connection()
+
+        def handle_response(status: int, body: bytes) -> None:
+            self._poll_connection.close()
+            self._poll_connection = connection
+            callback(status, body)
+
+        call = self._dialect.make_order_call(order)
+        connection.call(
+            call.method, call.path, call.headers, handle_response, call.body
         )
 
     def _poll(
@@ -293,7 +299,7 @@
                 ),
             )
 
-        self._send_order(self._settings.engine_address, order, handle_result)
+        self._send_order(order, handle_result)
 
     def _relay_order(
         self, link: links.Link, relay: messages.RelayOrder
@@ -324,7 +330,12 @@
                 )
             )
 
-        self._send_order(relay.address, order, handle_result, relay.target)
+        calls.EngineCall(
+            self._reactor,
+            relay.address,
+            self._dialect.make_order_call(order, relay.target),
+            handle_result,
+        )
 
     def _report_outcome(
         self,
--- a/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
@@ -97,33 +97,37 @@
     )
 
 
+def _make_agent(reactor, engine_address):
+    dialect: typing.Any = _Dialect()
+    make_hub: typing.Any = mock.Mock()
+    return task.RankAgent(
+        agent_messages.Settings(
+            cluster='c',
+            instance='side-0',
+            failure_domain='a',
+            service='llm',
+            engine_address=engine_address,
+            link_address='127.0.0.1:0',
+            seeds=[],
+            key=b'k',
+            metrics_address='',
+            log_level='info',
+        ),
+        reactor=reactor,
+        dialect=dialect,
+        incarnation=1,
+        make_hub=make_hub,
+    )
+
+
 @contextlib.contextmanager
 def _run_agent(other_status=200):
     """Yield an agent, its engine and another rank's engine."""
     with reactor_module.Reactor() as reactor:
-        dialect: typing.Any = _Dialect()
-        make_hub: typing.Any = mock.Mock()
         own = _Engine(reactor, 200)
         other = _Engine(reactor, other_status)
         with own.server, other.server:
-            agent = task.RankAgent(
-                agent_messages.Settings(
-                    cluster='c',
-                    instance='side-0',
-                    failure_domain='a',
-                    service='llm',
-                    engine_address=own.address,
-                    link_address='127.0.0.1:0',
-                    seeds=[],
-                    key=b'k',
-                    metrics_address='',
-                    log_level='info',
-                ),
-                reactor=reactor,
-                dialect=dialect,
-                incarnation=1,
-                make_hub=make_hub,
-            )
+            agent = _make_agent(reactor, own.address)
             yield reactor, agent, own, other
 
 
@@ -179,3 +183,58 @@
         assert done.state.target == 'side-0'
         assert own.paths[:2] == ['/order/release/12/', '/state']
         assert other.paths == []
+
+
+class _RepeatingEngine(_Engine):
+    """Send each response a second time, when the next request has come.
+
+    Each response names how many orders the engine had carried out by then.
+    """
+
+    def __init__(self, reactor):
+        super().__init__(reactor, 200)
+        self.orders = 0
+        self.last_bodies: dict[typing.Any, bytes] = {}
+
+    def _handle(self, exchange):
+        self.paths.append(exchange.request.target)
+        self.orders += exchange.request.target.startswith('/order')
+        connection = exchange._connection
+        body = b'%d' % self.orders
+        # The copy comes first, so that it is taken for the answer.
+        late = self.last_bodies.get(connection, body)
+        self.last_bodies[connection] = body
+        exchange.respond(200, [], late)
+
+
+def test_late_copy_of_an_older_state():
+    """A state that was read before an order isn't reported as one after it.
+
+    Pattern: the engine sends a second copy of an answer, late, on the kept
+    connection, when the next poll has been sent.
+    """
+    with reactor_module.Reactor() as reactor:
+        engine = _RepeatingEngine(reactor)
+        with engine.server:
+            agent = _make_agent(reactor, engine.address)
+            agent._dialect.read_state = _read_counted_state
+            agent.set_up()
+            for _ in range(20):
+                agent._poll(agent._dialect.make_state_call(), mock.Mock())
+                reactor.call_later(0.005, lambda: None)
+                reactor.run_once()
+            link = _Link()
+            for number in range(1, 4):
+                link.sent.clear()
+                agent.handle_message(link, ORDER)
+                _run_until_sent(reactor, link)
+                (done,) = link.sent
+                assert done.state.step == number
+
+
+def _read_counted_state(target, service, body):
+    """Return a state whose pass is the number that the engine named."""
+    state = _Dialect().read_state(target, service, body)
+    state.step = int(body)
+    state.layout_version = 0
+    return state
--- a/packages/core/src/bambooring_core/codec.py
+++ b/packages/core/src/bambooring_core/codec.py
@@ -180,16 +180,28 @@
     return type_id
 
 
+def _get_layout(type_id: int) -> _MessageLayout:
+    layout = _LAYOUTS_BY_ID.get(type_id)
+    if layout is None:
+        raise errors.FrameError(f'unknown frame type {type_id}')
+    return layout
+
+
+def _build(message: typing.Any) -> typing.Any:
+    """Return the Cap'n Proto builder of a message."""
+    layout = _LAYOUTS_BY_CLASS[type(message)]
+    builder = layout.struct.new_message()
+    _fill_builder(builder, message, layout)
+    return builder
+
+
 def encode(message: typing.Any) -> bytes:
     """Encode a message without a frame header.
 
     :param message: an instance of a registered class
     :returns: the Cap'n Proto bytes
     """
-    layout = _LAYOUTS_BY_CLASS[type(message)]
-    builder = layout.struct.new_message()
-    _fill_builder(builder, message, layout)
-    return builder.to_bytes()
+    return _build(message).to_bytes()
 
 
 def decode(type_id: int, data: bytes) -> typing.Any:
@@ -200,9 +212,7 @@
     :returns: an instance of the registered class
     :raises FrameError: if the bytes are not a valid message
     """
-    layout = _LAYOUTS_BY_ID.get(type_id)
-    if layout is None:
-        raise errors.FrameError(f'unknown frame type {type_id}')
+    layout = _get_layout(type_id)
     try:
         with layout.struct.from_bytes(
             data, traversal_limit_in_words=_READ_LIMIT_WORDS
@@ -240,11 +250,8 @@
     :param message: an instance of a registered class
     :returns: the type as two bytes, then the packed bytes
     """
-    layout = _LAYOUTS_BY_CLASS[type(message)]
-    builder = layout.struct.new_message()
-    _fill_builder(builder, message, layout)
     type_id = get_type_id(message).to_bytes(2, 'little')
-    return type_id + builder.to_bytes_packed()
+    return type_id + _build(message).to_bytes_packed()
 
 
 def unpack_dense(data: bytes) -> typing.Any:
@@ -254,10 +261,7 @@
     :returns: the message
     :raises FrameError: if the bytes are not a valid message
     """
-    type_id = int.from_bytes(data[:2], 'little')
-    layout = _LAYOUTS_BY_ID.get(type_id)
-    if layout is None:
-        raise errors.FrameError(f'unknown frame type {type_id}')
+    layout = _get_layout(int.from_bytes(data[:2], 'little'))
     try:
         reader = layout.struct.from_bytes_packed(
             data[2:], traversal_limit_in_words=_READ_LIMIT_WORDS
--- a/packages/core/src/bambooring_core/http1/kept.py
+++ b/packages/core/src/bambooring_core/http1/kept.py
@@ -1,7 +1,13 @@
 """Make repeated calls to one HTTP server over one kept connection.
 
-Only for calls that may be repeated, such as polls: if the server closes the
-kept connection before it responds, the call is made again on a new one.
+Only the first call of a connection is made at most once. If the server closes
+a kept connection before it responds to a later one, that call is made again on
+a new one, so it must be one that may be repeated, such as a poll.
+
+A server may send a second copy of a response late, when the next call has been
+sent. The copy can't be told from the answer to that call, but it was made after
+the connection was opened. What must be newer than some event is therefore read
+over a connection that was opened after the event.
 """
 
 import collections.abc
@@ -43,6 +49,8 @@
         self._is_connecting = False
         self._is_reused = False
         self._request: h11.Request | None = None
+        self._request_body = b''
+        self._informational_count = 0
         self._out_buffer = bytearray()
         self._status = 0
         self._body = bytearray()
@@ -60,17 +68,21 @@
         target: str,
         headers: messages.Headers,
         callback: ResponseCallback,
+        request_body: bytes = b'',
     ) -> None:
-        """Make a call without a body; the connection must be idle.
+        """Make a call; the connection must be idle.
 
         :param method: the HTTP method
         :param target: the path and the query
-        :param headers: all headers
+        :param headers: all headers, including the body's length
         :param callback: is called once, with the response or its failure
+        :param request_body: the body of the request
         """
         assert self.is_idle
         self._callback = callback
+        self._request_body = request_body
         self._status = 0
+        self._informational_count = 0
         self._body.clear()
         self._timer = self._reactor.call_later(self._timeout_s, self._fail)
         self._is_reused = self._socket is not None
@@ -109,6 +121,9 @@
     def _send(self) -> None:
         assert self._request is not None
         self._out_buffer += self._http.send(self._request) or b''
+        if self._request_body:
+            body = h11.Data(data=self._request_body)
+            self._out_buffer += self._http.send(body) or b''
         self._out_buffer += self._http.send(h11.EndOfMessage()) or b''
         self._flush()
 
@@ -172,11 +187,20 @@
                     self._status = event.status_code
                 case h11.Data():
                     self._body += event.data
+                    if len(self._body) > const.MAX_BODY_BYTES:
+                        self._fail()
+                        return
                 case h11.EndOfMessage():
                     self._complete()
                     return
                 case h11.InformationalResponse():
-                    continue
+                    self._informational_count += 1
+                    if (
+                        self._informational_count
+                        > const.MAX_INFORMATIONAL_RESPONSES
+                    ):
+                        self._fail()
+                        return
                 case h11.ConnectionClosed():
                     self._handle_close()
                     return
--- a/packages/core/src/bambooring_core/http1/tests/test_kept.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_kept.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bambooring_core.http1 import const
 from bambooring_core.http1 import kept
 from bambooring_core import reactor as reactor_module
 
@@ -180,3 +181,64 @@
                 break
             server.reactor.run_once()
         assert responses == [(0, b'')]
+
+
+def _send_endlessly(server, repeated, is_over):
+    """Answer the first call with the same bytes until it is over."""
+    pending = b''
+    for _ in range(MAX_ITERATIONS):
+        if is_over():
+            return
+        pending = pending or repeated * (65536 // len(repeated))
+        with contextlib.suppress(BlockingIOError, ConnectionError):
+            pending = pending[server.connections[0].send(pending) :]
+        server.reactor.call_later(0.0, lambda: None)
+        server.reactor.run_once()
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'x'),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n', b'x'),
+        (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+    ],
+)
+def test_endless_response(start, repeated):
+    """A response without an end fails before it has taken much memory."""
+    with _open() as (server, connection):
+        connection._timeout_s = 60.0
+        responses: list[tuple[int, bytes]] = []
+        _call(connection, '/a', responses)
+        server.read_request(0)
+        server.connections[0].sendall(start)
+        _send_endlessly(server, repeated, lambda: responses)
+        ((status, body),) = responses
+        assert status == 0
+        assert len(body) <= const.MAX_BODY_BYTES + const.READ_SIZE_BYTES
+
+
+def test_call_with_a_body_is_made_once():
+    """A call that may not be repeated fails if its connection is closed."""
+    with _open() as (server, connection):
+        responses = []
+        connection.call(
+            'POST',
+            '/order',
+            [(b'Host', b'x'), (b'Content-Length', b'2')],
+            lambda status, body: responses.append((status, body)),
+            b'hi',
+        )
+        data = bytearray()
+
+        def has_arrived():
+            if server.connections:
+                with contextlib.suppress(BlockingIOError):
+                    data.extend(server.connections[0].recv(65536))
+            return data.endswith(b'hi')
+
+        server.run_until(has_arrived)
+        server.connections[0].close()
+        server.run_until(lambda: responses)
+        assert responses == [(0, b'')]
+        assert len(server.connections) == 1
