Move what draws on rank states alone out of the rebalancer

Change: three functions about the states of ranks are a module of their own, an attempt's log record makes itself; the rebalancer says why it stays long.

--- a/packages/bambooring/src/bambooring/experts/rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancing.py
@@ -30,14 +30,17 @@
 machine, so an order that the agent leaves without an answer is relayed by the
 agent of another rank. The copy that the rank's own agent has may still be
 carried out when that agent runs again.
+
+The steps of a switch stay in one class, long as it is, because the argument
+above is about all of them together.
 """
 
-import dataclasses
 import sys
 
 from bambooring.experts import const
 from bambooring.experts import demand as demand_module
 from bambooring.experts import placement
+from bambooring.experts import rank_states
 from bambooring.experts import rebalancer_types
 from bambooring_core.ranks import messages as ranks
 
@@ -158,7 +161,9 @@
         if pending is None or self._switch is None:
             return
         info = self._rank_info[done.rank]
-        info.state = _apply_outcome(info.state, pending.order, done.outcome)
+        info.state = rank_states.apply_outcome(
+            info.state, pending.order, done.outcome
+        )
         info.received_s = now_s
         yield from self._handle_outcome(pending, done.outcome, now_s)
         yield from self._advance(now_s)
@@ -249,7 +254,9 @@
             yield from self._check_stray_hold(holding[0], now_s)
             return
         self._stray_hold_since_s = None
-        if now_s < self._next_plan_s or not _are_ranks_in_sync(states):
+        if now_s < self._next_plan_s or not rank_states.are_ranks_in_sync(
+            states
+        ):
             return
         if self._planning is not None or not self.demand.has_demand:
             return
@@ -323,7 +330,7 @@
         if (
             self.phase is not rebalancer_types.Phase.IDLE
             or states is None
-            or not _are_ranks_in_sync(states)
+            or not rank_states.are_ranks_in_sync(states)
             or states[0].epoch != planning.epoch
             or states[0].version != planning.version
         ):
@@ -721,7 +728,7 @@
             if self._has_pending_order(rank):
                 continue
             if state.armed:
-                if _is_unarmable(state.armed, states):
+                if rank_states.is_unarmable(state.armed, states):
                     yield self._send_new_order(
                         rank,
                         ranks.OrderKind.DISARM,
@@ -782,31 +789,6 @@
 )
 
 
-def _apply_outcome(
-    state: ranks.RankState, order: ranks.RankOrder, outcome: ranks.Outcome
-) -> ranks.RankState:
-    """Return a rank's state after an order of which only the outcome is known.
-
-    A refused release leaves nothing to release either. After any other order
-    without success the state is taken to be unchanged.
-    """
-    kinds = ranks.OrderKind
-    is_done = outcome is ranks.Outcome.DONE
-    if order.kind is kinds.RELEASE and outcome is not ranks.Outcome.UNKNOWN:
-        return dataclasses.replace(state, held=ranks.NOT_HELD)
-    if not is_done:
-        return state
-    match order.kind:
-        case kinds.PREPARE:
-            return dataclasses.replace(state, prepared=order.version)
-        case kinds.ARM:
-            return dataclasses.replace(state, armed=order.version)
-        case kinds.DISARM:
-            return dataclasses.replace(state, armed=0)
-        case _:
-            return dataclasses.replace(state, held=order.step)
-
-
 def _may_resend(
     pending: rebalancer_types.PendingOrder, outcome: ranks.Outcome
 ) -> bool:
@@ -814,30 +796,3 @@
         outcome is ranks.Outcome.UNKNOWN
         and pending.attempts < const.MAX_ORDER_ATTEMPTS
     )
-
-
-def _are_ranks_in_sync(states: dict[int, ranks.RankState]) -> bool:
-    """Return whether all ranks are open and use the same map.
-
-    Their layouts must be known, and none may be armed.
-    """
-    first = states.get(0)
-    return first is not None and all(
-        state.is_open
-        and state.version == first.version
-        and state.layout_version == state.version
-        and not state.armed
-        and len(state.layout) == len(first.layout)
-        for state in states.values()
-    )
-
-
-def _is_unarmable(version: int, states: dict[int, ranks.RankState]) -> bool:
-    """Return whether a version can never be armed on all ranks.
-
-    That is so once one rank has it neither armed, prepared nor in force.
-    """
-    return any(
-        version not in (state.armed, state.prepared, state.version)
-        for state in states.values()
-    )
--- a/packages/bambooring/src/bambooring/forwarding/access_log.py
+++ b/packages/bambooring/src/bambooring/forwarding/access_log.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from bambooring.balancing import state as balancing
 from bambooring.forwarding import messages
 from bambooring import metrics
 
@@ -26,6 +27,16 @@
     outcome: str = ''
     duration_ms: int = 0
 
+    @classmethod
+    def make(cls, choice: balancing.Choice) -> 'AttemptRecord':
+        """Return the record of an attempt that begins."""
+        return cls(
+            target=choice.target.id,
+            running=choice.running,
+            candidates=choice.candidate_count,
+            report_age_ms=round(choice.oldest_report_age_s * 1000),
+        )
+
     def format(self) -> str:
         """Return the text of the attempt in the log line."""
         return (
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -100,9 +100,8 @@
         """
         if self.route.kind != 'stream':
             return self.deadline_s - self.received_s
-        return (
-            decisions.get_stream_idle_s(self.route) * const.STREAM_WAIT_SHARE
-        )
+        idle_s = decisions.get_stream_idle_s(self.route)
+        return idle_s * const.STREAM_WAIT_SHARE
 
     @property
     def should_retry_later(self) -> bool:
@@ -117,14 +116,7 @@
 
     def send_to_target(self, choice: balancing.Choice) -> None:
         """Start an attempt at a target that the balancer has chosen."""
-        self._attempt_records.append(
-            access_log.AttemptRecord(
-                target=choice.target.id,
-                running=choice.running,
-                candidates=choice.candidate_count,
-                report_age_ms=round(choice.oldest_report_age_s * 1000),
-            )
-        )
+        self._attempt_records.append(access_log.AttemptRecord.make(choice))
         self.progress.attempt_count += 1
         self.tried_targets.add(choice.target.id)
         self._attempt = self._forwarder.start_attempt(self, choice)
