--- a/measures/skew.py
+++ b/measures/skew.py
@@ -121,7 +121,7 @@
     :param expert_count: number of experts of each layer
     :param slots_per_rank: number of experts that a rank holds in a layer
     :param report_count: number of reports in the day
-    :returns: the balance, the moves and the longest duration of planning a layer
+    :returns: the balance, the moves and the longest time to plan a layer
     """
     speeds = numpy.ones(rank_count)
     speeds[SLOW_RANK_INDEX] = SLOW_RANK_SPEED_RATIO
--- a/packages/agent/src/bambooring_agent/ranks/const.py
+++ b/packages/agent/src/bambooring_agent/ranks/const.py
@@ -3,9 +3,9 @@
 import typing
 
 STATE_POLL_INTERVAL_S: typing.Final = 0.6
-# While the group is broken the state is polled at this interval: when it opens,
-# all its callers wait for a fitting map. Unchanged states are still reported at
-# the interval above.
+# While the group is broken the state is polled at this interval: when it
+# opens, all its callers wait for a fitting map. Unchanged states are still
+# reported at the interval above.
 BROKEN_POLL_INTERVAL_S: typing.Final = 0.1
 # During a switch the coordinator's next step waits for the rank's state, so it
 # is polled at this interval, for at most SWITCH_POLL_LIMIT_S after an order.
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -2,7 +2,8 @@
 
 The load of a target is the number of requests that all entry instances have
 running there: this instance counts its own, the others report theirs in
-datagrams (``bambooring.loads``). The ranks of a model group run in lock-step, so a rank with more
+datagrams (``bambooring.loads``). The ranks of a model group run in
+lock-step, so a rank with more
 requests than the others slows all of them down. Targets are therefore
 compared by running requests per slot first. A rank reads prompts one after the
 other, a part in each pass, so ties are broken by the tokens that a target has
@@ -57,8 +58,8 @@
     """The capacity of a service and how much of it is used.
 
     ``target_count`` counts all targets that take new work,
-    ``usable_target_count`` those of them that aren't ejected. ``slots`` and ``running`` are totals
-    over the usable targets. ``waiting_elsewhere`` is the number of requests
+    ``usable_target_count`` those of them that aren't ejected. ``slots`` and
+    ``running`` are totals over the usable targets. ``waiting_elsewhere`` is the number of requests
     that wait for the service at the other entry instances.
     """
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_prompts.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_prompts.py
@@ -96,7 +96,7 @@
 
 
 def test_first_events_at_a_crest():
-    """Of 100 prompts 99 are read as soon as an empty rank reads the largest."""
+    """Of 100 prompts 99 are read as soon as a rank reads the largest."""
     rng = random.Random(3)
     balancer = _make_balancer(RANKS)
     queues = collections.defaultdict(list)
--- a/packages/bambooring/src/bambooring/balancing/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_state.py
@@ -48,7 +48,7 @@
 
 
 def test_tokens_decide_between_equals():
-    """Of targets with equally many requests, the one with fewer tokens wins."""
+    """Of targets with as many requests, the one with fewer tokens wins."""
     balancer = _make_balancer(2)
     balancer.add_request('1', 3000)
     balancer.add_request('2', 200)
--- a/packages/bambooring/src/bambooring/experts/placement.py
+++ b/packages/bambooring/src/bambooring/experts/placement.py
@@ -207,7 +207,7 @@
         )
 
     def predict_loads(self, change: Change) -> dict[int, float]:
-        """Return the load that each affected rank would have after a change."""
+        """Return the load that each affected rank has after a change."""
         loads_after: dict[int, float] = {}
         for expert in {edit.expert for edit in change}:
             old_ranks = self._ranks_by_expert[expert]
--- a/packages/bambooring/src/bambooring/experts/switch.py
+++ b/packages/bambooring/src/bambooring/experts/switch.py
@@ -76,7 +76,7 @@
 
 
 class Coordinator:
-    """Lead the switches of one group during one term of its control replica."""
+    """Lead the switches of one group in one term of its control replica."""
 
     def __init__(
         self,
--- a/packages/bambooring/src/bambooring/experts/tests/test_placement.py
+++ b/packages/bambooring/src/bambooring/experts/tests/test_placement.py
@@ -101,7 +101,7 @@
 
 
 def test_copies_are_limited():
-    """One switch copies a limited number of experts, for the worst set first."""
+    """One switch copies a limited number of experts, the worst set first."""
     rng = random.Random(9)
     mild = _draw_loads(rng, 72, 0.4)
     steep = _draw_loads(rng, 72, 1.3)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
@@ -562,7 +562,7 @@
 
 
 def test_stalled_response_ends_at_the_timeout(make_harness):
-    """A target that sends a byte now and then ends with the route's timeout."""
+    """A target that sends single bytes ends with the route's timeout."""
     harness = make_harness(stall_stream)
     sock = harness.send_request(b'/talk/1')
     harness.turn_until(lambda: hasattr(harness.targets[0], 'cut_exchange'))
--- a/packages/bambooring/src/bambooring/loads/tests/test_guards.py
+++ b/packages/bambooring/src/bambooring/loads/tests/test_guards.py
@@ -1,8 +1,8 @@
 """Test that the checks of the exchange notice if one of its guards is missing.
 
-A relay is frozen, datagrams come late, and a mode changes; each time the counts
-of all instances are compared with the truth. With all guards nothing is wrong;
-with one taken away something is.
+A relay is frozen, datagrams come late, and a mode changes; each time the
+counts of all instances are compared with the truth. With all guards nothing is
+wrong; with one taken away something is.
 """
 
 import pytest
--- a/packages/core/src/bambooring_core/codec.py
+++ b/packages/core/src/bambooring_core/codec.py
@@ -43,9 +43,9 @@
 class _MessageLayout:
     """How one message class is copied to and from its struct.
 
-    ``plain_fields`` are the Python and wire names of the fields that are copied
-    directly, ``converted_fields`` all others. ``type_id`` is 0 for a class that
-    is only nested in others.
+    ``plain_fields`` are the Python and wire names of the fields that are
+    copied directly, ``converted_fields`` all others. ``type_id`` is 0 for a
+    class that is only nested in others.
     """
 
     message_class: type
--- a/packages/core/src/bambooring_core/handshake.py
+++ b/packages/core/src/bambooring_core/handshake.py
@@ -72,7 +72,7 @@
     accepting_identity: identity_module.Identity,
     accepting_nonce: bytes,
 ) -> bytes:
-    """Compute the HMAC with which one end of a link proves that it has the key.
+    """Compute the HMAC by which one end of a link proves to have the key.
 
     :param key: the shared key
     :param side: 'accept' or 'dial', the end that sends the proof
--- a/packages/core/src/bambooring_core/http1/kept.py
+++ b/packages/core/src/bambooring_core/http1/kept.py
@@ -4,10 +4,10 @@
 a kept connection before it responds to a later one, that call is made again on
 a new one, so it must be one that may be repeated, such as a poll.
 
-A server may send a second copy of a response late, when the next call has been
-sent. The copy can't be told from the answer to that call, but it was made after
-the connection was opened. What must be newer than some event is therefore read
-over a connection that was opened after the event.
+A server may send a second copy of a response late, when the next call has
+been sent. The copy can't be told from the answer to that call, but it was made
+after the connection was opened. What must be newer than some event is
+therefore read over a connection that was opened after the event.
 """
 
 import collections.abc
--- a/packages/core/src/bambooring_core/links.py
+++ b/packages/core/src/bambooring_core/links.py
@@ -109,7 +109,7 @@
 
     @property
     def name(self) -> str:
-        """Return the peer's instance name, or the dialled address if unknown."""
+        """Return the peer's name, or the dialled address if unknown."""
         if self.peer is not None:
             return self.peer.instance
         return self.dialled_address or 'unknown'
@@ -302,7 +302,7 @@
         self.hub.handler.handle_link_up(self)
 
     def check_liveness(self, now: float, sequence: int) -> None:
-        """Close the link after a timeout; otherwise send a heartbeat if it is up.
+        """Close the link after a timeout, else send a heartbeat if it is up.
 
         :param now: the reactor's time in seconds
         :param sequence: the heartbeat's sequence number
--- a/packages/core/src/bambooring_core/reactor.py
+++ b/packages/core/src/bambooring_core/reactor.py
@@ -1,4 +1,4 @@
-"""Run an event loop in one thread, which owns its sockets, timers and state."""
+"""Run an event loop in a thread that owns its sockets, timers and state."""
 
 import collections
 import collections.abc
@@ -89,7 +89,7 @@
         self._is_stopping = True
 
     def finish(self) -> None:
-        """End :meth:`run` with this iteration, before any socket is read again.
+        """End :meth:`run` with this turn, before any socket is read again.
 
         To be called in the reactor's thread only.
         """
--- a/packages/core/src/bambooring_core/tests/test_datagrams.py
+++ b/packages/core/src/bambooring_core/tests/test_datagrams.py
@@ -28,7 +28,7 @@
 
 
 def test_foreign_datagrams_are_named_by_reason():
-    """Another key, a cut end and a changed byte are told apart from garbage."""
+    """Another key and a cut end are told apart from what is too large."""
     data = datagrams.seal(KEY, MESSAGE)
     assert _get_reason(data, b'x' * 32) == 'wrong_key'
     assert _get_reason(data[:-1]) == 'wrong_key'
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,7 +1,8 @@
 """Test the memory of an entry instance whose targets send bytes without end.
 
-Pattern: 200 streams whose targets send one event that never ends. The forwarder
-runs in a process of its own, so that its resident memory can be read.
+Pattern: 200 streams whose targets send one event that never ends. The
+forwarder runs in a process of its own, so that its resident memory can be
+read.
 """
 
 import contextlib
@@ -18,7 +19,7 @@
 SENT_BYTES = 4 * 1024 * 1024
 PART = b'x' * 32768
 
-# Prints the peak of the resident memory, in bytes, once all streams have ended.
+# Prints the peak of its resident memory, in bytes, when all streams ended.
 ENTRY = """
 import contextlib, pathlib, sys, types
 # An entry instance doesn't load pytest, which takes 20 MB.
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -31,7 +31,7 @@
 
 @pytest.fixture(scope='module')
 def cluster(tmp_path_factory):
-    """Yield a cluster of three failure domains that runs the Mandal example."""
+    """Yield a cluster of three domains that runs the Mandal example."""
     folder = tmp_path_factory.mktemp('cluster')
     new_cluster = cluster_module.Cluster(
         folder, domains=DOMAINS, token_interval_ms=20
