--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -59,8 +59,9 @@
 
     ``target_count`` counts all targets that take new work,
     ``usable_target_count`` those of them that aren't ejected. ``slots`` and
-    ``running`` are totals over the usable targets. ``waiting_elsewhere`` is the number of requests
-    that wait for the service at the other entry instances.
+    ``running`` are totals over the usable targets. ``waiting_elsewhere`` is
+    the number of requests that wait for the service at the other entry
+    instances.
     """
 
     target_count: int
--- a/packages/bambooring/src/bambooring/experts/rebalancer_types.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancer_types.py
@@ -119,11 +119,11 @@
 class Switch:
     """Track a switch that is under way, or a stray hold to clear up.
 
-    ``packed_map`` is the new map; for a stray hold it is empty and
-    ``version`` is 0. ``holding_rank`` holds the group before ``held_step``. ``armed_ranks``
-    are known to be armed. At the ranks in ``arm_in_flight`` an order to arm
-    the prepared version may still arrive.
-    ``is_partial`` means that there was more to copy than one switch may.
+    ``packed_map`` is the new map; for a stray hold it is empty and ``version``
+    is 0. ``holding_rank`` holds the group before ``held_step``.
+    ``armed_ranks`` are known to be armed. At the ranks in ``arm_in_flight`` an
+    order to arm the prepared version may still arrive. ``is_partial`` means
+    that there was more to copy than one switch may.
     """
 
     epoch: int
--- a/packages/bambooring/src/bambooring/experts/rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancing.py
@@ -16,10 +16,10 @@
   be armed on all ranks. So no coordinator releases the group into it, and the
   other ranks may be disarmed.
 - Held passes are distinct: their steps rise within a term, and successive
-  terms have different residues of steps (modulo ``HOLD_STEP_MODULUS``). So a late
-  order to release meets no other hold. Terms that are ``HOLD_STEP_MODULUS``
-  apart share a residue: a leader that still gives orders that many terms later
-  could choose the step of the newer one.
+  terms have different residues of steps (modulo ``HOLD_STEP_MODULUS``). So a
+  late order to release meets no other hold. Terms that are
+  ``HOLD_STEP_MODULUS`` apart share a residue: a leader that still gives orders
+  that many terms later could choose the step of the newer one.
 
 These statements are about the states of the ranks alone, so any number of
 coordinators may act at once, and an order may reach a rank twice and by any
