--- a/packages/bambooring/src/bambooring/forwarding/access_log.py
+++ b/packages/bambooring/src/bambooring/forwarding/access_log.py
@@ -17,7 +17,8 @@
 
     ``running`` is the number of requests that the target had when it was
     chosen, ``candidates`` the number of targets that it was chosen from.
-    ``report_age_ms`` is the age of the oldest load report used.
+    ``report_age_ms`` is the age of the oldest load report used. ``has_begun``
+    is true if the target began to answer.
     """
 
     target: str
@@ -26,6 +27,7 @@
     report_age_ms: int
     outcome: str = ''
     duration_ms: int = 0
+    has_begun: bool = False
 
     @classmethod
     def make(cls, choice: balancing.Choice) -> 'AttemptRecord':
@@ -43,6 +45,7 @@
             f'{self.target} running={self.running}'
             f' of={self.candidates} age={self.report_age_ms}'
             f' {self.outcome} {self.duration_ms}ms'
+            f'{" begun" if self.has_begun else ""}'
         )
 
 
--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -69,6 +69,8 @@
         self.target = choice.target
         self.began_s = reactor.now()
         self.last_event_at_s: float | None = None
+        # Whether the target has begun to answer: of a stream, its first event.
+        self.has_begun = False
         self.response: messages.TargetResponse | None = None
         self.buffered_body = bytearray()
         # The tokens of the prompt until the target has read them.
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -49,6 +49,9 @@
 # request can be retried at another target if the response breaks off.
 MAX_BUFFERED_BODY_BYTES: typing.Final = 128 * 1024
 
+# The parts of a prompt that a log line lists.
+MAX_LOGGED_PARTS: typing.Final = 8
+
 # A stream whose target sends more than this without the end of an event is
 # broken off. An instance has to have room for it once for each of its streams.
 MAX_EVENT_BYTES: typing.Final = 64 * 1024
--- a/packages/bambooring/src/bambooring/forwarding/messages.py
+++ b/packages/bambooring/src/bambooring/forwarding/messages.py
@@ -14,7 +14,9 @@
     ``time_left_s`` is how long the caller waits, counted from the request's
     head, None if it doesn't say. ``last_event_id`` is the last event of a
     stream that the caller already has. ``prompt_tokens`` is the size of the
-    prompt, 1 if it isn't known.
+    prompt, 1 if it isn't known. ``prompt_parts`` are the ids of the parts that
+    the prompt is made of, in order: requests share parts, but the last one is
+    the request's or its session's own.
     """
 
     attempt_id: str
@@ -26,6 +28,7 @@
     time_left_s: float | None
     last_event_id: int | None
     prompt_tokens: int
+    prompt_parts: tuple[str, ...]
     headers: http1.Headers
     body: bytes
 
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -211,6 +211,7 @@
                 self.route.max_event_gap_s,
             )
         attempt.last_event_at_s = now_s
+        attempt.has_begun = True
         self._forwarder.event_log.record(
             self.service, attempt.target.id, now_s
         )
@@ -380,6 +381,7 @@
         record.outcome = outcome
         elapsed_s = self._forwarder.reactor.now() - attempt.began_s
         record.duration_ms = round(elapsed_s * 1000)
+        record.has_begun = attempt.has_begun
         self._forwarder.release_attempt(attempt)
 
     def _cancel_silence_timers(self) -> None:
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
@@ -41,6 +41,7 @@
         time_left_s=8.0,
         last_event_id=None,
         prompt_tokens=100,
+        prompt_parts=(),
         headers=[],
         body=b'',
     )
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
@@ -43,6 +43,9 @@
             time_left_s=float(request.get(b'left') or b'5'),
             last_event_id=None,
             prompt_tokens=1,
+            prompt_parts=tuple(
+                (request.get(b'parts') or b'').decode().split()
+            ),
             headers=request.headers,
             body=request.body,
         )
