--- /dev/null
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -0,0 +1,376 @@
+"""Run a forwarder with callers and scripted targets on loopback sockets."""
+
+import contextlib
+import random
+import socket
+
+from bambooring.balancing import state as balancing
+from bambooring.forwarding import messages
+from bambooring.forwarding import task
+from bambooring.policy import lease as lease_module
+from bambooring.policy import messages as policy
+from bambooring.policy import state as policy_state
+from bambooring.routing import budget as budget_module
+from bambooring.targets import messages as targets
+from bambooring_core import clock as clock_module
+from bambooring_core.http1 import messages as http1
+from bambooring_core.http1 import server as http1_server
+from bambooring_core import reactor as reactor_module
+
+MAX_TURNS = 3000
+LIMITS = http1.Limits(
+    max_header_bytes=4096,
+    max_body_bytes=10_000,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+
+
+class Dialect:
+    """A minimal protocol: the path selects the route, headers do the rest."""
+
+    def read_request(self, request):
+        """Decode a caller's request."""
+        return messages.CallerRequest(
+            attempt_id=(request.get(b'id') or b'').decode(),
+            method=request.method,
+            request_target=request.target,
+            host='h',
+            path=request.target,
+            api_key=None,
+            time_left_s=float(request.get(b'left') or b'5'),
+            last_event_id=None,
+            prompt_tokens=1,
+            prompt_parts=tuple(
+                (request.get(b'parts') or b'').decode().split()
+            ),
+            headers=request.headers,
+            body=request.body,
+        )
+
+    def write_attempt_headers(self, request, metadata):
+        """Return the headers of the request that a target receives."""
+        return [
+            (b'Host', b'h'),
+            (b'Id', request.attempt_id.encode()),
+            (b'Target', metadata.target_id.encode()),
+            (b'Last', str(metadata.last_event_id or 0).encode()),
+            (b'Content-Length', str(len(request.body)).encode()),
+        ]
+
+    def read_response_head(self, head):
+        """Decode the head of a target's response."""
+        values = {name.lower(): value for name, value in head.headers}
+        return messages.TargetResponse(
+            status=head.status,
+            headers=[
+                (name, value)
+                for name, value in head.headers
+                if name.lower()
+                not in (b'content-length', b'transfer-encoding')
+            ],
+            attempt_id=values.get(b'id', b'').decode(),
+            is_refused=b'not-run' in values,
+            is_misdirected=b'other' in values,
+            is_signed=b'signed' in values,
+            is_encoded=False,
+            is_stream=b'stream' in values,
+            faulty_target='',
+        )
+
+    def read_policy(self, document):
+        """Fail, since no test needs it."""
+        raise NotImplementedError
+
+    def read_control_call(self, request):
+        """Fail, since no test needs it."""
+        raise NotImplementedError
+
+
+def make_route(name, kind, **changes):
+    values = {
+        'name': name,
+        'host': 'h',
+        'path_prefix': f'/{name}/',
+        'kind': kind,
+        'services': [policy.WeightedService(service='app', weight=1)],
+        'timeout_s': 5.0,
+        'first_byte_objective_s': 0.5,
+        'priority': 0,
+        'max_attempts': 2,
+        'is_anonymous': True,
+        'is_resumable': False,
+        'max_event_gap_s': 0.12,
+    } | changes
+    return policy.Route(**values)
+
+
+POLICY = policy.Policy(
+    version=1,
+    routes=[
+        make_route('read', policy.RouteKind.IDEMPOTENT),
+        make_route('book', policy.RouteKind.NON_IDEMPOTENT),
+        make_route('talk', policy.RouteKind.STREAM, is_resumable=True),
+    ],
+    services=[],
+    accounts=[],
+    limits=policy.CallerLimits(
+        max_header_bytes=1,
+        max_body_bytes=1,
+        header_timeout_s=1,
+        idle_timeout_s=1,
+    ),
+)
+
+
+class _OffsetClock:
+    """The real time plus what a test adds to skip over a silence."""
+
+    def __init__(self, offset):
+        self._offset = offset
+        self._clock = clock_module.MonotonicClock()
+
+    def now(self):
+        """Return the time in seconds."""
+        return self._clock.now() + self._offset.now()
+
+
+class ScriptedTarget:
+    """A target that responds as a function of this module says.
+
+    ``runs`` holds the attempt ids of the requests that ran.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.runs = []
+        self.disconnects = 0
+
+    def handle(self, exchange):
+        """Respond to a request by the script."""
+        exchange.on_disconnect = self._count_disconnect
+        self.script(self, exchange)
+
+    def _count_disconnect(self):
+        self.disconnects += 1
+
+    def record_run(self, exchange):
+        """Record that a request runs here."""
+        self.runs.append(exchange.request.get(b'id'))
+
+
+def make_headers(exchange, *more):
+    return [(b'Id', exchange.request.get(b'id')), (b'Signed', b'1'), *more]
+
+
+def respond_with_success(target, exchange):
+    """Run a request and respond with success."""
+    target.record_run(exchange)
+    exchange.respond(200, make_headers(exchange), b'whole')
+
+
+def refuse(target, exchange):
+    """Respond that the request has not run."""
+    exchange.respond(503, [(b'Not-Run', b'1')], b'')
+
+
+def reset_connection(target, exchange):
+    """Run a request and reset the connection."""
+    target.record_run(exchange)
+    exchange.abort()
+
+
+def cut_response(target, exchange):
+    """Run a request and reset the connection in mid-response."""
+    target.record_run(exchange)
+    exchange.start(200, make_headers(exchange, (b'Content-Length', b'50')))
+    exchange.write(b'part')
+    exchange.abort()
+
+
+def respond_with_wrong_id(target, exchange):
+    """Run a request and respond with the id of another request."""
+    target.record_run(exchange)
+    exchange.respond(200, [(b'Id', b'other'), (b'Signed', b'1')], b'wrong')
+
+
+def respond_with_error(target, exchange):
+    """Run a request and respond with a server error."""
+    target.record_run(exchange)
+    exchange.respond(500, make_headers(exchange), b'failed')
+
+
+def hang(target, exchange):
+    """Run a request and never respond."""
+    target.record_run(exchange)
+
+
+def stall_stream(target, exchange):
+    """Run a request and send some events, then single bytes when told to."""
+    cut_stream(target, exchange)
+
+
+def send_slowly(target, exchange):
+    """Run a request and send an event whenever the test says so."""
+    target.record_run(exchange)
+    exchange.start(200, make_headers(exchange, (b'Stream', b'1')))
+    target.next_event = int(exchange.request.get(b'last')) + 1
+    target.slow_exchange = exchange
+    send_next_event(target)
+
+
+def send_next_event(target):
+    """Send the next event of a slow stream."""
+    target.slow_exchange.write(
+        make_events(target.next_event, target.next_event)
+    )
+    target.next_event += 1
+
+
+def send_endless_event(target, exchange):
+    """Run a request and send whole events, then one without an end."""
+    target.record_run(exchange)
+    exchange.start(200, make_headers(exchange, (b'Stream', b'1')))
+    exchange.write(make_events(1, 4) + b'data: ' + b'x' * 200_000)
+
+
+def make_events(first_id, last_id):
+    return b''.join(
+        b'id: %d\ndata: x\n\n' % event_id
+        for event_id in range(first_id, last_id + 1)
+    )
+
+
+def send_stream(target, exchange):
+    """Run a request and send the events that the caller doesn't have."""
+    target.record_run(exchange)
+    last = int(exchange.request.get(b'last'))
+    exchange.start(200, make_headers(exchange, (b'Stream', b'1')))
+    exchange.write(make_events(last + 1, 9))
+    exchange.end()
+
+
+def cut_stream(target, exchange):
+    """Run a request and stop sending in the middle of an event."""
+    target.record_run(exchange)
+    exchange.start(200, make_headers(exchange, (b'Stream', b'1')))
+    exchange.write(make_events(1, 4) + b'id: 5\nda')
+    target.cut_exchange = exchange
+
+
+class Harness:
+    """A forwarder with a server for callers and with scripted targets."""
+
+    def __init__(self, stack, *scripts):
+        self.clock = clock_module.ManualClock()
+        self.reactor = stack.enter_context(
+            reactor_module.Reactor(_OffsetClock(self.clock))
+        )
+        self.targets = [ScriptedTarget(script) for script in scripts]
+        self.balancer = balancing.Balancer('a', random.Random(1))
+        self.forwarder = task.Forwarder(
+            reactor=self.reactor,
+            dialect=Dialect(),
+            balancer=self.balancer,
+            lease=lease_module.Lease(4.0),
+            lease_clock=clock_module.ManualClock(),
+            budget=budget_module.RetryBudget(
+                0.0, initial_tokens=50, capacity=50
+            ),
+            rng=random.Random(1),
+            schedule_load_report=lambda delay_s: None,
+        )
+        self.forwarder.policy_table = policy_state.PolicyTable(POLICY)
+        self.caller_server = self.serve(stack, self.forwarder.handle)
+        self.target_servers = [
+            self.serve(stack, target.handle) for target in self.targets
+        ]
+        self.balancer.set_targets(self._make_targets())
+
+    def serve(self, stack, handle):
+        """Start a server on a free port."""
+        server = http1_server.Server(
+            reactor=self.reactor,
+            address='127.0.0.1:0',
+            limits=LIMITS,
+            handle=handle,
+            count_refused=lambda reason: None,
+        )
+        return stack.enter_context(server)
+
+    def _make_targets(self):
+        for index, server in enumerate(self.target_servers):
+            yield targets.Target(
+                id=f't{index}',
+                service='app',
+                address=f'127.0.0.1:{server.port}',
+                failure_domain='a' if index == 0 else 'b',
+                slots=4,
+                state=targets.State.READY,
+                born_ms=1,
+                sequence=1,
+            )
+
+    def send_request(self, path, time_left=b'5'):
+        """Send a request and return its socket."""
+        sock = socket.create_connection(('127.0.0.1', self.caller_server.port))
+        sock.setblocking(False)
+        sock.send(
+            b'POST %b HTTP/1.1\r\nHost: h\r\nId: 7\r\nLeft: %b\r\n'
+            b'Content-Length: 2\r\n\r\nhi' % (path, time_left)
+        )
+        return sock
+
+    def turn_until(self, condition):
+        """Run the reactor until a condition holds."""
+        for _ in range(MAX_TURNS):
+            if condition():
+                return
+            self.reactor.call_later(0.001, lambda: None)
+            self.reactor.run_once()
+        raise AssertionError('condition not met in time')
+
+    def read_response(self, sock):
+        """Return the response and whether the connection was reset."""
+        data = bytearray()
+        resets = []
+
+        def receive():
+            with contextlib.suppress(BlockingIOError):
+                try:
+                    received = sock.recv(65536)
+                except ConnectionResetError:
+                    resets.append('reset')
+                    return True
+                data.extend(received)
+            return not self.forwarder.pending_count and is_complete(
+                bytes(data)
+            )
+
+        self.turn_until(receive)
+        sock.close()
+        return bytes(data), bool(resets)
+
+    @property
+    def run_count(self):
+        """Return how often the request ran, over all targets."""
+        return sum(len(target.runs) for target in self.targets)
+
+
+def is_complete(data):
+    head, separator, body = data.partition(b'\r\n\r\n')
+    if not separator:
+        return False
+    if b'chunked' in head.lower():
+        return body.endswith(b'0\r\n\r\n')
+    length = head.lower().split(b'content-length: ')[1].split(b'\r\n')[0]
+    return len(body) >= int(length)
+
+
+def advance(harness, seconds, step=0.1):
+    """Skip over some time in steps in which the reactor runs."""
+    for _ in range(round(seconds / step)):
+        harness.clock.advance(step)
+        for _ in range(3):
+            harness.reactor.call_later(0.001, lambda: None)
+            harness.reactor.run_once()
