--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -55,6 +55,7 @@
             (b'Id', request.attempt_id.encode()),
             (b'Target', metadata.target_id.encode()),
             (b'Last', str(metadata.last_event_id or 0).encode()),
+            (b'Parts', ' '.join(request.prompt_parts).encode()),
             (b'Content-Length', str(len(request.body)).encode()),
         ]
 
@@ -138,13 +139,15 @@
 class ScriptedTarget:
     """A target that responds as a function of this module says.
 
-    ``runs`` holds the attempt ids of the requests that ran.
+    ``runs`` holds the attempt ids of the requests that ran. ``stop`` ends the
+    target: its connections are reset, and new ones are refused.
     """
 
     def __init__(self, script):
         self.script = script
         self.runs = []
         self.disconnects = 0
+        self.stop = None
 
     def handle(self, exchange):
         """Respond to a request by the script."""
@@ -200,6 +203,28 @@
     exchange.respond(500, make_headers(exchange), b'failed')
 
 
+def crash_on_deadly_part(target, exchange):
+    """End the target at a request with a certain part; stream the others."""
+    if b'deadly' in exchange.request.get(b'parts').split():
+        crash(target, exchange)
+    else:
+        send_stream(target, exchange)
+
+
+def crash_on_deadly_body(target, exchange):
+    """End the target at a request with a certain body; answer the others."""
+    if exchange.request.body == b'deadly':
+        crash(target, exchange)
+    else:
+        respond_with_success(target, exchange)
+
+
+def crash(target, exchange):
+    """End the target as it begins to run a request."""
+    target.record_run(exchange)
+    target.stop()
+
+
 def hang(target, exchange):
     """Run a request and never respond."""
     target.record_run(exchange)
@@ -282,11 +307,28 @@
         )
         self.forwarder.policy_table = policy_state.PolicyTable(POLICY)
         self.caller_server = self.serve(stack, self.forwarder.handle)
+        self._stack = stack
+        self.generation = 0
         self.target_servers = [
-            self.serve(stack, target.handle) for target in self.targets
+            self._start_target(target) for target in self.targets
         ]
         self.balancer.set_targets(self._make_targets())
 
+    def _start_target(self, target):
+        server = self.serve(self._stack, target.handle)
+        target.stop = lambda: self.reactor.call_soon(
+            lambda: server.__exit__(None, None, None)
+        )
+        return server
+
+    def restart_targets(self):
+        """Replace the targets by new processes, as after crashes."""
+        self.generation += 1
+        for index, target in enumerate(self.targets):
+            self.target_servers[index].__exit__(None, None, None)
+            self.target_servers[index] = self._start_target(target)
+        self.balancer.set_targets(self._make_targets())
+
     def serve(self, stack, handle):
         """Start a server on a free port."""
         server = http1_server.Server(
@@ -301,23 +343,26 @@
     def _make_targets(self):
         for index, server in enumerate(self.target_servers):
             yield targets.Target(
-                id=f't{index}',
+                id=f't{index}' + 'r' * self.generation,
                 service='app',
                 address=f'127.0.0.1:{server.port}',
                 failure_domain='a' if index == 0 else 'b',
                 slots=4,
                 state=targets.State.READY,
-                born_ms=1,
+                born_ms=1 + self.generation,
                 sequence=1,
             )
 
-    def send_request(self, path, time_left=b'5'):
+    def send_request(
+        self, path, time_left=b'5', *, parts=b'', body=b'hi', attempt_id=b'7'
+    ):
         """Send a request and return its socket."""
         sock = socket.create_connection(('127.0.0.1', self.caller_server.port))
         sock.setblocking(False)
         sock.send(
-            b'POST %b HTTP/1.1\r\nHost: h\r\nId: 7\r\nLeft: %b\r\n'
-            b'Content-Length: 2\r\n\r\nhi' % (path, time_left)
+            b'POST %b HTTP/1.1\r\nHost: h\r\nId: %b\r\nLeft: %b\r\n'
+            b'Parts: %b\r\nContent-Length: %d\r\n\r\n%b'
+            % (path, attempt_id, time_left, parts, len(body), body)
         )
         return sock
 
--- /dev/null
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
@@ -0,0 +1,78 @@
+"""Send requests that crash targets, and sound ones beside them."""
+
+import contextlib
+
+import pytest
+
+from bambooring.forwarding.tests import harness as harness_module
+
+SOUND = b'system own'
+DEADLY = b'system deadly own'
+
+
+@pytest.fixture
+def make_harness():
+    """Make a harness with a number of targets that all follow one script."""
+    with contextlib.ExitStack() as stack:
+        yield lambda count, script: harness_module.Harness(
+            stack, *[script] * count
+        )
+
+
+def _ask(harness, path, **request):
+    """Send a request; return its status and whether the stream was whole."""
+    runs = harness.run_count
+    data, _ = harness.read_response(harness.send_request(path, **request))
+    return data.split(b' ')[1], harness.run_count - runs, data
+
+
+# Callers of a whole service were cut off because each request with one part in
+# common was sent, and sent again, until it had crashed one target after another.
+def test_part_that_crashed_a_target_reaches_no_other_target(make_harness):
+    """No two requests are alike, but all have the part that crashes targets."""
+    harness = make_harness(4, harness_module.crash_on_deadly_part)
+    assert _ask(harness, b'/talk/1', parts=SOUND)[:2] == (b'200', 1)
+    status, runs, _ = _ask(harness, b'/talk/1', parts=DEADLY)
+    assert (status, runs) == (b'502', 1)
+    for number in range(5):
+        status, runs, data = _ask(
+            harness,
+            b'/talk/%d' % number,
+            parts=b'system%d deadly own%d' % (number, number),
+            body=b'%d' % number,
+        )
+        assert (status, runs) == (b'503', 0)
+        assert b'Retry-After' in data
+
+
+# Sound callers were refused although they only shared their first part with
+# requests that had crashed a target.
+def test_parts_beside_the_deadly_one_are_served_at_the_first_attempt(
+    make_harness,
+):
+    """Right after a crash, parts that were answered before are not held."""
+    harness = make_harness(4, harness_module.crash_on_deadly_part)
+    _ask(harness, b'/talk/1', parts=SOUND)
+    _ask(harness, b'/talk/1', parts=DEADLY)
+    _ask(harness, b'/talk/1', parts=DEADLY)
+    for number in range(3):
+        status, runs, _ = _ask(
+            harness, b'/talk/1', parts=b'system own%d' % number
+        )
+        assert (status, runs) == (b'200', 1)
+
+
+# A request without parts that came again and again crashed a target each time.
+def test_request_that_crashed_two_targets_is_not_sent_again(make_harness):
+    """The same path, caller and body are known again, whatever the id."""
+    harness = make_harness(6, harness_module.crash_on_deadly_body)
+    for number in range(4):
+        _ask(
+            harness,
+            b'/read/1',
+            body=b'deadly',
+            attempt_id=b'%d' % number,
+        )
+    assert harness.run_count == 2
+    status, runs, _ = _ask(harness, b'/read/1', body=b'sound')
+    assert (status, runs) == (b'200', 1)
