--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -21,19 +21,13 @@
 
 # Prints the peak of its resident memory, in bytes, when all streams ended.
 ENTRY = """
-import contextlib, pathlib, sys, types
-# An entry instance doesn't load pytest, which takes 20 MB.
-sys.modules['pytest'] = types.ModuleType('pytest')
-sys.modules['pytest'].mark = types.SimpleNamespace(
-    parametrize=lambda *arguments: lambda function: function
-)
-sys.modules['pytest'].fixture = lambda function: function
+import contextlib, pathlib, sys
 sys.path.insert(0, sys.argv[1])
-import test_task
+import harness as harness_module
 from bambooring.targets import messages as targets
 
 with contextlib.ExitStack() as stack:
-    harness = test_task.Harness(stack)
+    harness = harness_module.Harness(stack)
     harness.balancer.set_targets([
         targets.Target(
             id=f't{index}', service='app', address=sys.argv[2],
@@ -47,7 +41,7 @@
         for _ in range(int(sys.argv[3]))
     ]
     harness.turn_until(lambda: harness.forwarder.pending_count)
-    test_task.MAX_TURNS = 100000
+    harness_module.MAX_TURNS = 100000
     harness.turn_until(lambda: not harness.forwarder.pending_count)
     # The maximum that getrusage() tells includes that of the parent process.
     status = pathlib.Path('/proc/self/status').read_text()
