Quarantine what requests have in common when targets crash

Cause: a request that crashed a target was known nowhere. The entry ejected the target and sent the request to the next one; and if anything had been kept, it would have been the whole request, while no two of these are alike. The class is a failure that follows the input, treated as one of the target.

Change: an instance whose request loses its connection before an answer begins opens a connection to the target. If that is refused, the target has crashed, and what was waiting there for an answer is suspect: the parts that were never answered before, the other parts after three outages without any answer, the request as a whole after two crashes. The suspect that explains a crash best is blamed; an answer acquits. Suspects are quarantined (30 s at a model group, 2 s elsewhere, 300 s after a second outage), then tried one request at a time over all instances. News go through the control replicas, which keep them for new links; they may come late, twice and in any order. Requests in the queue or without an answer end at once, with 503 if they have not run.

Why it works: only parts without any answer are suspect at once, and those that sound requests share are answered all the time.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -106,6 +106,12 @@
         for target_id in self._health_by_target.keys() - known_ids:
             del self._health_by_target[target_id]
 
+    def has_target(self, target: targets.Target) -> bool:
+        """Return whether a run of a target takes new work."""
+        service_targets = self._targets_by_service.get(target.service, {})
+        known = service_targets.get(target.id)
+        return known is not None and known.born_ms == target.born_ms
+
     def choose(
         self,
         service: str,
--- /dev/null
+++ b/packages/bambooring/src/bambooring/crashes/state.py
@@ -0,0 +1,496 @@
+"""Keep what is known of crashes, and judge requests by it.
+
+What may have crashed a target is what it was about to answer: the parts of
+the prompts of those requests, and each request as a whole. A cause that is
+answered after a crash is acquitted of it. What remains is quarantined for a
+time; then one request with it is tried, so that a sound cause is acquitted and
+a guilty one crashes one target more.
+
+All instances keep the same crashes. Their news may be merged repeatedly, late
+and in any order: crashes and acquittals only accumulate until they expire.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+
+from bambooring.crashes import causes as causes_module
+from bambooring.crashes import const
+from bambooring.crashes import messages
+
+
+class Decision(enum.Enum):
+    """What to do with a request.
+
+    TRIAL allows to send it if nothing else with a suspect is being tried.
+    QUARANTINED and TRIAL_BUSY forbid to send it.
+    """
+
+    CLEAR = enum.auto()
+    TRIAL = enum.auto()
+    TRIAL_BUSY = enum.auto()
+    QUARANTINED = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Verdict:
+    """The decision on a request, and the suspect that it is due to.
+
+    ``key`` is 0 without a suspect. ``crash_count`` are the crashes that the
+    suspect is blamed for, ``wait_s`` is after how long the decision may be
+    another one.
+    """
+
+    decision: Decision
+    key: int = 0
+    crash_count: int = 0
+    wait_s: float = 0.0
+
+    @property
+    def is_forbidden(self) -> bool:
+        """Return whether the request must not be sent for now."""
+        return self.decision in (Decision.TRIAL_BUSY, Decision.QUARANTINED)
+
+
+CLEAR = Verdict(decision=Decision.CLEAR)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Crash:
+    """A crash as this instance knows it; ``at_s`` is in its own seconds."""
+
+    at_s: float
+    quarantine_s: float
+    suspects: dict[int, messages.CauseKind]
+    acquitted: set[int]
+
+    def list_open(self) -> collections.abc.Iterator[int]:
+        """Yield the suspects that are not acquitted."""
+        return (key for key in self.suspects if key not in self.acquitted)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Merged:
+    """What became of news: what of it was new, and what to reply to all."""
+
+    changed: messages.CrashNews
+    reply: messages.CrashNews
+
+
+class CrashLedger:
+    """Keep crashes and answered parts, and judge requests."""
+
+    __slots__ = (
+        '_answered_parts',
+        '_crash_ids_by_key',
+        '_crashes',
+        '_first_answer_s',
+        '_trial_key',
+        '_trial_until_s',
+    )
+
+    def __init__(self) -> None:
+        self._crashes: dict[int, _Crash] = {}
+        # By suspect: the crashes that it is not acquitted of.
+        self._crash_ids_by_key: dict[int, set[int]] = {}
+        # In order of the last answer, the latest at the end.
+        self._answered_parts: dict[int, None] = {}
+        self._first_answer_s: float | None = None
+        self._trial_key = 0
+        self._trial_until_s = 0.0
+
+    def record_answer(
+        self, causes: causes_module.Causes, now_s: float
+    ) -> messages.CrashNews:
+        """Record that a target began to answer a request.
+
+        :returns: the acquittals that others have to know of
+        """
+        parts = (*causes.shared_parts, *causes.own_parts)
+        if parts and self._first_answer_s is None:
+            self._first_answer_s = now_s
+        for key in parts:
+            self._add_answered_part(key)
+        news = messages.CrashNews()
+        for key in (*parts, causes.request):
+            crash_ids = self._crash_ids_by_key.get(key)
+            if crash_ids:
+                acquittal = messages.Acquittal(
+                    key=key, crash_ids=sorted(crash_ids)
+                )
+                self._apply_acquittal(acquittal, now_s)
+                news.acquittals.append(acquittal)
+        return news
+
+    def _add_answered_part(self, key: int) -> None:
+        self._answered_parts.pop(key, None)
+        self._answered_parts[key] = None
+        if len(self._answered_parts) > const.MAX_ANSWERED_PARTS:
+            del self._answered_parts[next(iter(self._answered_parts))]
+
+    def record_crash(
+        self,
+        crash_id: int,
+        causes: causes_module.Causes,
+        *,
+        is_group: bool,
+        now_s: float,
+    ) -> messages.CrashNews:
+        """Record that a target crashed before it answered a request.
+
+        :param crash_id: the crash
+        :param causes: the possible causes in the request
+        :param is_group: whether the target belongs to a model group
+        :param now_s: the current time in seconds
+        :returns: what others have to know of it
+        """
+        crash = messages.Crash(
+            id=crash_id,
+            age_ms=0,
+            quarantine_ms=round(
+                self._get_quarantine_s(is_group, now_s) * 1000
+            ),
+            suspects=list(self._list_suspects(causes)),
+        )
+        merged = self.merge(messages.CrashNews(crashes=[crash]), now_s)
+        return merged.changed
+
+    def _get_quarantine_s(self, is_group: bool, now_s: float) -> float:
+        has_history = (
+            self._first_answer_s is not None
+            and now_s - self._first_answer_s >= const.HISTORY_MIN_S
+        )
+        if is_group and has_history:
+            return const.GROUP_QUARANTINE_S
+        return const.TARGET_QUARANTINE_S
+
+    def _list_suspects(
+        self, causes: causes_module.Causes
+    ) -> collections.abc.Iterator[messages.Suspect]:
+        """Yield the suspects, new parts first, up to the limit."""
+        new = [
+            key
+            for key in causes.shared_parts
+            if key not in self._answered_parts
+        ]
+        answered = [
+            key for key in causes.shared_parts if key in self._answered_parts
+        ]
+        yield messages.Suspect(
+            key=causes.request, kind=messages.CauseKind.REQUEST
+        )
+        for key in new[: const.MAX_SUSPECTS_PER_CRASH - 1]:
+            yield messages.Suspect(key=key, kind=messages.CauseKind.NEW_PART)
+        room = max(0, const.MAX_SUSPECTS_PER_CRASH - 1 - len(new))
+        for key in answered[:room]:
+            yield messages.Suspect(
+                key=key, kind=messages.CauseKind.ANSWERED_PART
+            )
+
+    def merge(self, news: messages.CrashNews, now_s: float) -> Merged:
+        """Take over the news of another instance.
+
+        :returns: what was new, and what this instance knows better
+        """
+        changed = messages.CrashNews()
+        reply = messages.CrashNews()
+        for crash in news.crashes:
+            new_suspects = self._apply_crash(crash, now_s)
+            if new_suspects:
+                changed.crashes.append(
+                    dataclasses.replace(crash, suspects=new_suspects)
+                )
+                reply.answered_keys += self._claim_answered(new_suspects)
+        for acquittal in news.acquittals:
+            if self._apply_acquittal(acquittal, now_s):
+                changed.acquittals.append(acquittal)
+        for key in (*news.answered_keys, *_list_answered(news.crashes)):
+            if self._mark_answered(key):
+                changed.answered_keys.append(key)
+        for trial in news.trials:
+            if self._apply_trial(trial, now_s):
+                changed.trials.append(trial)
+        self._expire(now_s)
+        return Merged(changed=changed, reply=reply)
+
+    def _apply_crash(
+        self, crash: messages.Crash, now_s: float
+    ) -> list[messages.Suspect]:
+        """Add a crash or its further suspects; return those that are new."""
+        known = self._crashes.get(crash.id)
+        if known is None:
+            known = self._make_crash(now_s - crash.age_ms / 1000)
+            self._crashes[crash.id] = known
+        known.quarantine_s = max(
+            known.quarantine_s, crash.quarantine_ms / 1000
+        )
+        new_suspects = []
+        for suspect in crash.suspects:
+            if suspect.key in known.suspects:
+                continue
+            if len(known.suspects) >= const.MAX_SUSPECTS_PER_CRASH:
+                break
+            new_suspects.append(suspect)
+            known.suspects[suspect.key] = suspect.kind
+            if suspect.key not in known.acquitted:
+                self._crash_ids_by_key.setdefault(suspect.key, set()).add(
+                    crash.id
+                )
+            if suspect.key == self._trial_key:
+                self._trial_until_s = now_s
+        return new_suspects
+
+    def _make_crash(self, at_s: float) -> _Crash:
+        return _Crash(
+            at_s=at_s, quarantine_s=0.0, suspects={}, acquitted=set()
+        )
+
+    def _claim_answered(self, suspects: list[messages.Suspect]) -> list[int]:
+        """Return the new parts of others that were answered here."""
+        keys = [
+            suspect.key
+            for suspect in suspects
+            if suspect.kind is messages.CauseKind.NEW_PART
+            and suspect.key in self._answered_parts
+        ]
+        return [key for key in keys if self._mark_answered(key)]
+
+    def _apply_acquittal(
+        self, acquittal: messages.Acquittal, now_s: float
+    ) -> bool:
+        """Acquit a cause of crashes, also of those not known yet."""
+        is_new = False
+        for crash_id in acquittal.crash_ids:
+            crash = self._crashes.setdefault(crash_id, self._make_crash(now_s))
+            if acquittal.key in crash.acquitted:
+                continue
+            if len(crash.acquitted) >= const.MAX_SUSPECTS_PER_CRASH:
+                continue
+            is_new = True
+            crash.acquitted.add(acquittal.key)
+            self._drop_suspicion(acquittal.key, crash_id)
+        if is_new:
+            self._mark_answered(acquittal.key)
+            if acquittal.key == self._trial_key:
+                self._trial_until_s = now_s
+        return is_new
+
+    def _drop_suspicion(self, key: int, crash_id: int) -> None:
+        crash_ids = self._crash_ids_by_key.get(key, set())
+        crash_ids.discard(crash_id)
+        if not crash_ids:
+            self._crash_ids_by_key.pop(key, None)
+
+    def _mark_answered(self, key: int) -> bool:
+        """Record that a part was answered before; return whether it is news.
+
+        The crash that it matters to may become known later.
+        """
+        is_news = key not in self._answered_parts
+        self._add_answered_part(key)
+        for crash_id in self._crash_ids_by_key.get(key, ()):
+            suspects = self._crashes[crash_id].suspects
+            if suspects[key] is messages.CauseKind.NEW_PART:
+                suspects[key] = messages.CauseKind.ANSWERED_PART
+                is_news = True
+        return is_news
+
+    def _apply_trial(self, trial: messages.Trial, now_s: float) -> bool:
+        until_s = now_s + trial.time_left_ms / 1000
+        if trial.key != self._trial_key and until_s <= self._trial_until_s:
+            return False
+        is_new = trial.key != self._trial_key or not trial.time_left_ms
+        is_new = is_new or self._trial_until_s <= now_s
+        self._trial_key = trial.key
+        self._trial_until_s = until_s
+        return is_new
+
+    def judge(self, causes: causes_module.Causes, now_s: float) -> Verdict:
+        """Decide whether a request may be sent to a target."""
+        if not self._crash_ids_by_key:
+            return CLEAR
+        blamed_by_key = {
+            key: blamed
+            for key in (*causes.shared_parts, causes.request)
+            if key in self._crash_ids_by_key
+            and (blamed := self._list_crashes_by(key))
+        }
+        if not blamed_by_key:
+            return CLEAR
+        is_sole = len(blamed_by_key) == 1
+        longest = max(
+            (
+                self._judge_cause(key, blamed, is_sole, now_s)
+                for key, blamed in blamed_by_key.items()
+            ),
+            key=lambda verdict: verdict.wait_s,
+        )
+        if longest.wait_s > 0:
+            return longest
+        if now_s < self._trial_until_s:
+            return dataclasses.replace(
+                longest,
+                decision=Decision.TRIAL_BUSY,
+                wait_s=self._trial_until_s - now_s,
+            )
+        return dataclasses.replace(longest, decision=Decision.TRIAL)
+
+    def _list_crashes_by(self, key: int) -> list[_Crash]:
+        """Return the crashes that a suspect is blamed for."""
+        crashes = (
+            self._crashes[crash_id] for crash_id in self._crash_ids_by_key[key]
+        )
+        return [crash for crash in crashes if key in self._list_blamed(crash)]
+
+    def _judge_cause(
+        self, key: int, blamed: list[_Crash], is_sole: bool, now_s: float
+    ) -> Verdict:
+        """Return the verdict on one suspect.
+
+        :param key: the suspect
+        :param blamed: the crashes that it is blamed for
+        :param is_sole: whether the request has no other suspect
+        :param now_s: the current time in seconds
+        """
+        last = max(blamed, key=lambda crash: crash.at_s)
+        if self._count_excess(key):
+            quarantine_s = const.LATER_QUARANTINE_S
+        elif not is_sole:
+            # A crash would not tell which of the suspects caused it.
+            quarantine_s = const.GROUP_QUARANTINE_S
+        elif all(len(self._list_blamed(crash)) > 1 for crash in blamed):
+            # The sooner a request has only one of several suspects, the
+            # sooner they can be told apart.
+            quarantine_s = const.TARGET_QUARANTINE_S
+        else:
+            quarantine_s = last.quarantine_s
+        return Verdict(
+            decision=Decision.QUARANTINED,
+            key=key,
+            crash_count=len(blamed),
+            wait_s=max(0.0, last.at_s + quarantine_s - now_s),
+        )
+
+    def _list_blamed(self, crash: _Crash) -> set[int]:
+        """Return the suspects of a crash that account for it best.
+
+        A part that was never answered accounts for it better than anything
+        that was, and what has more outages better than what has fewer.
+        """
+        ranks = {
+            key: (
+                crash.suspects[key] is messages.CauseKind.NEW_PART,
+                self._count_excess(key),
+            )
+            for key in crash.list_open()
+            if self._count_excess(key) >= 0
+        }
+        best = max(ranks.values(), default=None)
+        return {key for key, rank in ranks.items() if rank == best}
+
+    def _count_excess(self, key: int) -> int:
+        """Return by how much a cause's count exceeds its limit."""
+        crashes = [
+            self._crashes[crash_id]
+            for crash_id in self._crash_ids_by_key.get(key, ())
+        ]
+        kinds = {crash.suspects[key] for crash in crashes}
+        if messages.CauseKind.REQUEST in kinds:
+            return len(crashes) - const.REQUEST_CRASH_LIMIT
+        times_s = [crash.at_s for crash in crashes]
+        if kinds == {messages.CauseKind.NEW_PART}:
+            outages = _count_outages(times_s, const.NEW_PART_OUTAGE_S)
+            return outages - const.NEW_PART_OUTAGE_LIMIT
+        outages = _count_outages(times_s, const.ANSWERED_PART_OUTAGE_S)
+        return outages - const.ANSWERED_PART_OUTAGE_LIMIT
+
+    def begin_trial(self, key: int, now_s: float) -> messages.CrashNews:
+        """Record that a request with a suspect is sent to a target."""
+        return self._set_trial(key, const.TRIAL_TIMEOUT_S, now_s)
+
+    def end_trial(self, key: int, now_s: float) -> messages.CrashNews:
+        """Record that a trial ended without any result."""
+        if key != self._trial_key or now_s >= self._trial_until_s:
+            return messages.CrashNews()
+        return self._set_trial(key, 0.0, now_s)
+
+    def _set_trial(
+        self, key: int, time_left_s: float, now_s: float
+    ) -> messages.CrashNews:
+        trial = messages.Trial(key=key, time_left_ms=round(time_left_s * 1000))
+        self._apply_trial(trial, now_s)
+        return messages.CrashNews(trials=[trial])
+
+    def list_all(self, now_s: float) -> messages.CrashNews:
+        """Return all that is known, for an instance that is newly linked."""
+        self._expire(now_s)
+        news = messages.CrashNews()
+        acquittals: dict[int, list[int]] = {}
+        for crash_id, crash in self._crashes.items():
+            open_keys = set(crash.list_open())
+            if open_keys:
+                news.crashes.append(
+                    self._describe(crash_id, crash, open_keys, now_s)
+                )
+            for key in crash.acquitted:
+                acquittals.setdefault(key, []).append(crash_id)
+        news.acquittals = [
+            messages.Acquittal(key=key, crash_ids=sorted(crash_ids))
+            for key, crash_ids in acquittals.items()
+        ]
+        if now_s < self._trial_until_s:
+            left_ms = round((self._trial_until_s - now_s) * 1000)
+            news.trials.append(
+                messages.Trial(key=self._trial_key, time_left_ms=left_ms)
+            )
+        return news
+
+    def _describe(
+        self, crash_id: int, crash: _Crash, keys: set[int], now_s: float
+    ) -> messages.Crash:
+        return messages.Crash(
+            id=crash_id,
+            age_ms=max(0, round((now_s - crash.at_s) * 1000)),
+            quarantine_ms=round(crash.quarantine_s * 1000),
+            suspects=[
+                messages.Suspect(key=key, kind=crash.suspects[key])
+                for key in crash.suspects
+                if key in keys
+            ],
+        )
+
+    def _expire(self, now_s: float) -> None:
+        """Drop old crashes, and the oldest ones beyond the limit."""
+        by_age = sorted(self._crashes, key=lambda id: self._crashes[id].at_s)
+        surplus = max(0, len(by_age) - const.MAX_CRASHES)
+        for position, crash_id in enumerate(by_age):
+            crash = self._crashes[crash_id]
+            is_old = now_s > crash.at_s + const.CRASH_TTL_S
+            if not is_old and position >= surplus:
+                break
+            for key in list(crash.list_open()):
+                self._drop_suspicion(key, crash_id)
+            del self._crashes[crash_id]
+
+
+def _list_answered(
+    crashes: list[messages.Crash],
+) -> collections.abc.Iterator[int]:
+    """Yield the suspects that were answered before some crash."""
+    for crash in crashes:
+        for suspect in crash.suspects:
+            if suspect.kind is messages.CauseKind.ANSWERED_PART:
+                yield suspect.key
+
+
+def _count_outages(
+    times_s: collections.abc.Iterable[float], outage_s: float
+) -> int:
+    """Return how many groups there are of times that lie close together."""
+    count = 0
+    begin_s = float('-inf')
+    for at_s in sorted(times_s):
+        if at_s - begin_s > outage_s:
+            count += 1
+            begin_s = at_s
+    return count
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -104,6 +104,7 @@
     TARGET_REFUSED = 'target_refused'
     GROUP_BROKEN = 'group_broken'
     TARGET_FAILED = 'target_failed'
+    SUSPECT = 'suspect'
     TIMEOUT = 'timeout'
     STREAM_BROKEN = 'stream_broken'
     CALLER_LEFT = 'caller_left'
--- a/packages/bambooring/src/bambooring/forwarding/forwarder.py
+++ b/packages/bambooring/src/bambooring/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 import typing
 
 from bambooring.balancing import state as balancing
+from bambooring.crashes import task as crashes
 from bambooring.forwarding import attempt as attempt_module
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
@@ -19,6 +20,7 @@
 
     reactor: reactor_module.Reactor
     balancer: balancing.Balancer
+    crash_guard: crashes.CrashGuard
     fairness: fairness_module.FairnessTracker
     event_log: stalls.EventLog
 
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -3,6 +3,7 @@
 import structlog
 
 from bambooring.balancing import state as balancing
+from bambooring.crashes import state as crashes
 from bambooring.forwarding import access_log
 from bambooring.forwarding import attempt as attempt_module
 from bambooring.forwarding import const
@@ -13,6 +14,7 @@
 from bambooring.forwarding import messages
 from bambooring.forwarding import rejections
 from bambooring.forwarding import stalls
+from bambooring.forwarding import suspicions
 from bambooring import metrics
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server
@@ -52,6 +54,11 @@
             f'route {self.route.name}',
         ]
         self.progress = decisions.Progress()
+        self.suspicion = suspicions.RequestSuspicion(
+            forwarder.crash_guard,
+            request,
+            self.account.name if self.account else '',
+        )
         self.tried_targets: set[str] = set()
         self.received_s = exchange.request.received_s
         self.deadline_s = self.received_s + decisions.get_total_timeout_s(
@@ -119,6 +126,7 @@
         self._attempt_records.append(access_log.AttemptRecord.make(choice))
         self.progress.attempt_count += 1
         self.tried_targets.add(choice.target.id)
+        self.suspicion.begin_attempt()
         self._attempt = self._forwarder.start_attempt(self, choice)
         if self.route.is_retryable and not self._is_stream():
             self._silence_timer = self._forwarder.reactor.call_later(
@@ -211,7 +219,7 @@
                 self.route.max_event_gap_s,
             )
         attempt.last_event_at_s = now_s
-        attempt.has_begun = True
+        self._record_answer(attempt)
         self._forwarder.event_log.record(
             self.service, attempt.target.id, now_s
         )
@@ -219,6 +227,11 @@
         if not self._is_over:
             self._exchange.write(complete_events)
 
+    def _record_answer(self, attempt: attempt_module.Attempt) -> None:
+        if not attempt.has_begun:
+            attempt.has_begun = True
+            self.suspicion.record_answer()
+
     def _watch_for_stall(
         self, attempt: attempt_module.Attempt, now_s: float
     ) -> None:
@@ -259,6 +272,8 @@
         """Forward a complete response, or retry a request that failed."""
         response = attempt.response
         assert response is not None
+        if not self._is_stream():
+            self._record_answer(attempt)
         if self._should_retry_failure(attempt, response):
             self.progress.may_have_run = True
             self._failed_attempt = attempt
@@ -349,6 +364,19 @@
         self._forwarder.eject_target(attempt.target.id, failure)
         if self.progress.is_response_started:
             self._event_stream.restart()
+        # A target that is leaving ends without having crashed.
+        if (
+            suspicions.may_be_crash(failure)
+            and not attempt.has_begun
+            and self._forwarder.balancer.has_target(attempt.target)
+        ):
+            self.suspicion.check_target(
+                attempt.target, self._retry_after_failure
+            )
+            return
+        self._retry_after_failure()
+
+    def _retry_after_failure(self) -> None:
         self._retry_or_give_up(const.Reason.TARGET_FAILED)
 
     def _retry_or_give_up(self, reason: const.Reason) -> None:
@@ -356,6 +384,8 @@
             return
         if self.progress.is_response_started and not self._is_stream():
             self.give_up(reason)
+        elif self.suspicion.judge().is_forbidden:
+            self.give_up(const.Reason.SUSPECT)
         elif self._claim_retry(reason.value):
             self._forwarder.dispatch_or_queue(self)
         else:
@@ -367,6 +397,8 @@
         :param reason: why the request is retried, as a metric label
         :returns: whether to retry
         """
+        if self.suspicion.judge().is_forbidden:
+            return False
         time_left_s = self.get_time_left_s()
         if not decisions.may_retry(self.route, self.progress, time_left_s):
             return False
@@ -382,6 +414,8 @@
         elapsed_s = self._forwarder.reactor.now() - attempt.began_s
         record.duration_ms = round(elapsed_s * 1000)
         record.has_begun = attempt.has_begun
+        if not suspicions.may_be_crash(outcome):
+            self.suspicion.end_attempt()
         self._forwarder.release_attempt(attempt)
 
     def _cancel_silence_timers(self) -> None:
@@ -406,6 +440,16 @@
         self._forwarder.eject_target(attempt.target.id, 'silent')
         self._forwarder.dispatch_or_queue(self)
 
+    def rejudge(self) -> None:
+        """End the request if it has become suspect and isn't answered yet."""
+        verdict = self.suspicion.judge()
+        if verdict.decision is not crashes.Decision.QUARANTINED:
+            return
+        if self._attempt is not None and self._attempt.has_begun:
+            return
+        self._abort_attempt('suspect')
+        self.give_up(const.Reason.SUSPECT)
+
     def stop(self) -> None:
         """End the request because the process stops."""
         self._abort_attempt('stopping')
--- /dev/null
+++ b/packages/bambooring/src/bambooring/forwarding/suspicions.py
@@ -0,0 +1,92 @@
+"""Judge a pending request by what is known of crashes of targets."""
+
+import collections.abc
+import functools
+
+from bambooring.crashes import causes as causes_module
+from bambooring.crashes import state as crashes
+from bambooring.crashes import task as crashes_task
+from bambooring.forwarding import messages
+from bambooring.targets import messages as targets
+from bambooring_core.http1 import errors as http1_errors
+
+# How a connection ends whose target has crashed.
+_CRASH_FAILURES = frozenset(
+    (
+        http1_errors.Failure.RESET.value,
+        http1_errors.Failure.CLOSED_EARLY.value,
+    )
+)
+
+
+class RequestSuspicion:
+    """Whether one request may crash targets, as this instance knows it."""
+
+    def __init__(
+        self,
+        guard: crashes_task.CrashGuard,
+        request: messages.CallerRequest,
+        account: str,
+    ) -> None:
+        self._guard = guard
+        self._request = request
+        self._account = account
+        self._trial_key = 0
+
+    @functools.cached_property
+    def _causes(self) -> causes_module.Causes:
+        return causes_module.compute_causes(
+            prompt_parts=self._request.prompt_parts,
+            method=self._request.method,
+            request_target=self._request.request_target,
+            account=self._account,
+            body=self._request.body,
+        )
+
+    def judge(self) -> crashes.Verdict:
+        """Decide whether the request may be sent to a target."""
+        return self._guard.judge(self._causes)
+
+    def begin_attempt(self) -> None:
+        """Record that the request is sent, on trial if it is suspect."""
+        verdict = self.judge()
+        if verdict.decision is crashes.Decision.TRIAL:
+            self._trial_key = verdict.key
+            self._guard.begin_trial(verdict, self._request.attempt_id)
+
+    def record_answer(self) -> None:
+        """Record that a target began to answer."""
+        self._guard.record_answer(self._causes)
+
+    def end_attempt(self) -> None:
+        """Record that the attempt has ended, so that others may be tried."""
+        if self._trial_key:
+            self._guard.end_trial(self._trial_key)
+            self._trial_key = 0
+
+    def check_target(
+        self,
+        target: targets.Target,
+        callback: collections.abc.Callable[[], None],
+    ) -> None:
+        """Find out whether the target crashed before it answered.
+
+        :param target: the target
+        :param callback: is called with the result known
+        """
+
+        def end() -> None:
+            self.end_attempt()
+            callback()
+
+        self._guard.check_target(
+            target, self._causes, self._request.attempt_id, end
+        )
+
+
+def may_be_crash(failure: str) -> bool:
+    """Return whether a target that has crashed ends connections this way.
+
+    :param failure: how the connection ended, as a label
+    """
+    return failure in _CRASH_FAILURES
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -7,6 +7,8 @@
 
 from bambooring.balancing import const as balancing_const
 from bambooring.balancing import state as balancing
+from bambooring.crashes import state as crashes
+from bambooring.crashes import task as crashes_task
 from bambooring.forwarding import attempt as attempt_module
 from bambooring.forwarding import const
 from bambooring.forwarding import decisions
@@ -48,6 +50,7 @@
         lease: lease_module.Lease,
         lease_clock: clock_module.Clock,
         budget: budget_module.RetryBudget,
+        crash_guard: crashes_task.CrashGuard,
         rng: random.Random,
         schedule_load_report: collections.abc.Callable[[float], None],
         make_call: client.CallFactory = client.Call,
@@ -61,6 +64,8 @@
         self._lease = lease
         self._lease_clock = lease_clock
         self._budget = budget
+        self.crash_guard = crash_guard
+        crash_guard.on_quarantine = self._rejudge_all
         self._rng = rng
         self._schedule_load_report = schedule_load_report
         self._make_call = make_call
@@ -147,6 +152,10 @@
 
         :param pending: the request
         """
+        verdict = pending.suspicion.judge()
+        if verdict.is_forbidden:
+            pending.give_up(const.Reason.SUSPECT)
+            return
         queue = self._queues.setdefault(pending.service, [])
         now_s = self.reactor.now()
         queue_key = pending.get_queue_key(now_s)
@@ -155,6 +164,10 @@
         ]
         if not ahead and self._try_dispatch(pending):
             return
+        if verdict.decision is crashes.Decision.TRIAL:
+            # Requests on trial that waited would all be sent at once.
+            pending.give_up(const.Reason.SUSPECT)
+            return
         if (
             self.balancer.is_group_broken(pending.service)
             and pending.should_retry_later
@@ -363,6 +376,11 @@
             for_ms=round(pause_s * 1000),
         )
 
+    def _rejudge_all(self) -> None:
+        """End the requests that a new crash has made suspect."""
+        for pending in list(self._pending_requests):
+            pending.rejudge()
+
     def stop_all(self) -> None:
         """End every pending request, because the process stops."""
         for pending in list(self._pending_requests):
@@ -380,6 +398,9 @@
         The time is randomized, so that callers rejected at the same moment
         don't all retry at the same moment.
         """
+        verdict = pending.suspicion.judge()
+        if verdict.is_forbidden:
+            return max(verdict.wait_s, const.RETRY_AFTER_MIN_S)
         service = pending.service
         now_s = self.reactor.now()
         capacity = self.balancer.get_capacity(service, now_s)
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -5,6 +5,8 @@
 import socket
 
 from bambooring.balancing import state as balancing
+from bambooring.crashes import messages as crashes
+from bambooring.crashes import task as crashes_task
 from bambooring.forwarding import messages
 from bambooring.forwarding import task
 from bambooring.policy import lease as lease_module
@@ -293,6 +295,7 @@
         )
         self.targets = [ScriptedTarget(script) for script in scripts]
         self.balancer = balancing.Balancer('a', random.Random(1))
+        self.crash_news: list[crashes.CrashNews] = []
         self.forwarder = task.Forwarder(
             reactor=self.reactor,
             dialect=Dialect(),
@@ -302,6 +305,9 @@
             budget=budget_module.RetryBudget(
                 0.0, initial_tokens=50, capacity=50
             ),
+            crash_guard=crashes_task.CrashGuard(
+                reactor=self.reactor, send_news=self.crash_news.append
+            ),
             rng=random.Random(1),
             schedule_load_report=lambda delay_s: None,
         )
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
@@ -26,10 +26,10 @@
     return data.split(b' ')[1], harness.run_count - runs, data
 
 
-# Callers of a whole service were cut off because each request with one part in
-# common was sent, and sent again, until it had crashed one target after another.
+# Callers of a whole service were cut off because each request with one part
+# in common was sent and sent again, and crashed one target after another.
 def test_part_that_crashed_a_target_reaches_no_other_target(make_harness):
-    """No two requests are alike, but all have the part that crashes targets."""
+    """No two requests are alike, but all have the same part."""
     harness = make_harness(4, harness_module.crash_on_deadly_part)
     assert _ask(harness, b'/talk/1', parts=SOUND)[:2] == (b'200', 1)
     status, runs, _ = _ask(harness, b'/talk/1', parts=DEADLY)
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from bambooring.crashes import messages as crashes
+from bambooring.crashes import relay as crashes_relay
 from bambooring.experts import rebalancer_types
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.gateway import const
@@ -114,6 +116,10 @@
         )
         self._engine_specs: dict[str, rebalancer_types.EngineSpec] = {}
         self._engine_specs_version = 0
+        self._crash_relay = crashes_relay.CrashRelay(
+            reactor=reactor,
+            get_links=self._list_crash_links,
+        )
         self._topology: targets.Topology | None = None
         self._server: http1_server.Server | None = None
 
@@ -185,6 +191,13 @@
             if link.dialled_address is not None
         ]
 
+    def _list_crash_links(self) -> list[links.Link]:
+        """Return the links to all processes that keep what is known."""
+        return [
+            *self._hub.get_links(core_const.ROLE_ENTRY),
+            *self._get_control_links(),
+        ]
+
     def _count_refused(self, reason: str) -> None:
         metrics.REFUSALS.labels(reason=reason, outcome='control').inc()
         LOG.info('control call refused', reason=reason)
@@ -203,6 +216,7 @@
             self._hub.keep_connected(link.peer.address)
             if link.dialled_address is not None:
                 self._registrar.send_all_targets(link)
+                self._crash_relay.send_all(link)
             return
         if link.peer.role == core_const.ROLE_AGENT:
             self._group_manager.greet_agent(link)
@@ -213,6 +227,7 @@
         if self._topology is not None:
             link.send(self._topology)
         self._feeds.add(link, is_main=is_near)
+        self._crash_relay.send_all(link)
         self._send_policy()
 
     def handle_link_down(self, link: links.Link) -> None:
@@ -317,6 +332,8 @@
                 self._registrar.merge_announced(link, message)
             case targets.AnnouncedReply():
                 self._registrar.handle_confirmation(link, message)
+            case crashes.CrashNews():
+                self._crash_relay.handle(link, message)
             case targets.EntryStatus():
                 self._update_status(link, message)
             case policy.LeaseRequest():
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -8,6 +8,8 @@
 
 from bambooring.balancing import const as balancing_const
 from bambooring.balancing import state as balancing
+from bambooring.crashes import messages as crashes
+from bambooring.crashes import task as crashes_task
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.forwarding import task as forwarding
 from bambooring.gateway import const
@@ -65,6 +67,9 @@
         self._registry = targets_state.Registry(settings.heartbeat_s)
         self._balancer = balancing.Balancer(settings.failure_domain, rng)
         self._budget = budget_module.RetryBudget(reactor.now())
+        self._crash_guard = crashes_task.CrashGuard(
+            reactor=reactor, send_news=self._send_crash_news
+        )
         self.forwarder = forwarding.Forwarder(
             reactor=reactor,
             dialect=dialect,
@@ -72,6 +77,7 @@
             lease=self._lease,
             lease_clock=self._lease_clock,
             budget=self._budget,
+            crash_guard=self._crash_guard,
             rng=rng,
             schedule_load_report=self._schedule_load_report,
         )
@@ -197,6 +203,14 @@
         LOG.info('control replica linked', peer=link.name)
         self._send_status()
         self._request_lease()
+        crash_news = self._crash_guard.list_all()
+        if not crash_news.is_empty:
+            link.send(crash_news)
+
+    def _send_crash_news(self, news: crashes.CrashNews) -> None:
+        """Tell all control replicas, which tell the other entry instances."""
+        for link in self._hub.get_links(core_const.ROLE_CONTROL):
+            link.send(news)
 
     def _send_status(self) -> None:
         """Tell each control replica what this instance needs from it."""
@@ -234,6 +248,8 @@
                 self._apply_announced(link, message)
             case targets.GroupPaces():
                 self._apply_slowdowns(message)
+            case crashes.CrashNews():
+                self._crash_guard.merge(message, link.name)
             case targets.Topology():
                 self._apply_topology(link, message)
             case _:
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -29,6 +29,15 @@
     'Times that a target was sent no new requests for a while, by reason.',
     ['reason'],
 )
+TARGET_CHECKS = prometheus_client.Counter(
+    'bambooring_target_checks_total',
+    'Checks whether a target that dropped a request has ended, by outcome.',
+    ['outcome'],
+)
+SUSPECT_TRIALS = prometheus_client.Counter(
+    'bambooring_suspect_trials_total',
+    'Requests sent to find out whether they crash targets.',
+)
 ANNOUNCEMENTS = prometheus_client.Counter(
     'bambooring_announcements_total',
     'Announcements of targets, by effect.',
