Break off a stream that ends inside an event

What callers saw: a stream whose target ended its answer in the middle of an event, by the last chunk, by the announced length or by closing a connection without either, ended at the caller as complete, with part of an event in it.

Cause: the rest after the last whole event was written out at the regular end of an answer, as the last event of a target that leaves out the blank line. No target does that; one that ends so has been broken off. The framing was trusted to say whether the content is whole.

Change: an answer that ends inside an event has failed. The stream goes on at another target from its last whole event, or is broken off at the caller. The code that wrote the rest out is gone.

test_cut_answers.py cuts plain answers and streams at each byte, with a length, in chunks and with neither, by close and by reset. What was tried and did not fail: answers without a length that end with their connection, those that are reset, heads cut anywhere, refusals of another request and refusals after an answer on the same connection.

--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -54,15 +54,6 @@
             if self._accept_event_id(_read_event_id(event)):
                 yield event
 
-    def take_remainder(self) -> bytes:
-        """Return and clear the data after the last complete event.
-
-        It is called at the regular end of a response.
-        """
-        remainder = bytes(self._buffer)
-        self._buffer.clear()
-        return remainder
-
     def _accept_event_id(self, event_id: int | None) -> bool:
         """Return whether an event is new, and store its id.
 
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -283,12 +283,9 @@
             self._forwarder.dispatch_or_queue(self)
             return
         if attempt.is_forwarding and self._event_stream.has_partial_event:
-            if (
-                not response.is_success
-                or not self.progress.is_response_started
-            ):
-                self.handle_failure(attempt, 'closed_early')
-                return
+            # Whatever its framing says, the stream has been broken off.
+            self.handle_failure(attempt, 'closed_early')
+            return
         self._close_attempt(attempt, f'status_{response.status}')
         self._forwarder.balancer.record_response_started(self.service)
         if response.is_success:
@@ -320,10 +317,6 @@
         if attempt.is_forwarding:
             if not self.progress.is_response_started:
                 self._start_response(attempt)
-            if self._is_stream() and (
-                remainder := self._event_stream.take_remainder()
-            ):
-                self._exchange.write(remainder)
             self._exchange.end()
         elif self.progress.is_response_started:
             # A target that should have resumed the stream responded with an
--- /dev/null
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -0,0 +1,222 @@
+"""Cut targets' answers at each byte, in each framing, and look at the caller.
+
+Pattern: a target stops anywhere in its answer and closes or resets the
+connection, or answers the continuation of a stream with something else.
+"""
+
+import contextlib
+import socket
+import struct
+import threading
+
+import pytest
+
+from bambooring.forwarding.tests import harness as harness_module
+from bambooring.targets import messages as targets
+
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+BODY = b'whole answer'
+EVENTS = [b'id: %d\ndata: x\n\n' % number for number in range(1, 4)]
+FRAMINGS = ['length', 'chunks', 'none']
+
+
+class RawTarget:
+    """A target that sends some bytes and ends the connection."""
+
+    def __init__(self, answer=b'', is_reset=False):
+        self.answer = answer
+        self.is_reset = is_reset
+        self.requests = []
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        """Refuse further connections."""
+        self._listener.close()
+
+    def _serve(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                self._respond(sock)
+
+    def _respond(self, sock):
+        with sock, contextlib.suppress(OSError):
+            sock.settimeout(5.0)
+            data = bytearray()
+            while not data.endswith(b'\r\n\r\nhi'):
+                received = sock.recv(65536)
+                if not received:
+                    return
+                data += received
+            self.requests.append(bytes(data))
+            sock.sendall(self.answer)
+            if self.is_reset:
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+
+
+def _make_head(status, *headers):
+    lines = [b'HTTP/1.1 %d X' % status, b'Id: 7', b'Signed: 1', *headers]
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
+def _frame(parts, framing, *headers):
+    """Return an answer whose body has some parts."""
+    body = b''.join(parts)
+    if framing == 'length':
+        length = b'Content-Length: %d' % len(body)
+        return _make_head(200, length, *headers) + body
+    if framing == 'chunks':
+        chunks = [b'%x\r\n%b\r\n' % (len(part), part) for part in parts]
+        head = _make_head(200, b'Transfer-Encoding: chunked', *headers)
+        return head + b''.join(chunks) + b'0\r\n\r\n'
+    return _make_head(200, *headers) + body
+
+
+@pytest.fixture
+def make_harness():
+    """Make a harness with raw targets; the first one is chosen first."""
+    with contextlib.ExitStack() as stack:
+
+        def make(*raw_targets):
+            harness = harness_module.Harness(stack)
+            for target in raw_targets:
+                stack.callback(target.close)
+            harness.announce = lambda: harness.balancer.set_targets(
+                targets.Target(
+                    id=f't{index}',
+                    service='app',
+                    address=target.address,
+                    failure_domain='a' if index == 0 else 'b',
+                    slots=4,
+                    state=targets.State.READY,
+                    born_ms=1,
+                    sequence=1,
+                )
+                for index, target in enumerate(raw_targets)
+            )
+            harness.announce()
+            return harness
+
+        yield make
+
+
+def _ask(harness, path):
+    """Return what a caller gets: status, body, and whether it looks whole."""
+    harness.balancer._health_by_target.clear()
+    sock = harness.send_request(path)
+    data = bytearray()
+
+    def is_over():
+        # Skips most of the time that a request waits for another target.
+        harness.clock.advance(0.02)
+        try:
+            received = sock.recv(65536)
+        except BlockingIOError:
+            return not harness.forwarder.pending_count and _is_whole(data)
+        except ConnectionResetError:
+            return True
+        data.extend(received)
+        return not received
+
+    harness.turn_until(is_over)
+    sock.close()
+    head, _, body = bytes(data).partition(b'\r\n\r\n')
+    status = head.split(b' ')[1] if head else b''
+    return status, body, _is_whole(data)
+
+
+def _is_whole(data):
+    return b'\r\n\r\n' in data and harness_module.is_complete(bytes(data))
+
+
+# Callers got 200 with a short or empty body after a target had stopped in the
+# middle of its head or body.
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_cut_plain_answer_does_not_look_whole(make_harness, framing, is_reset):
+    """Only the end of a connection may end an answer without a length."""
+    answer = _frame([BODY], framing)
+    head_size = answer.index(b'\r\n\r\n') + 4
+    target = RawTarget(is_reset=is_reset)
+    harness = make_harness(target)
+    for size in range(len(answer)):
+        target.answer = answer[:size]
+        status, body, is_whole = _ask(harness, b'/book/1')
+        if status == b'200':
+            assert framing == 'none' and not is_reset and size >= head_size
+            assert body == answer[head_size:size]
+        else:
+            assert (status, is_whole) == (b'502', True)
+    target.answer = answer
+    status, body, _ = _ask(harness, b'/book/1')
+    if not is_reset:
+        assert (status, body) == (b'200', BODY)
+
+
+# Streams that ended inside an event looked complete to callers.
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_cut_stream_does_not_look_whole(make_harness, framing, is_reset):
+    """A stream without a length is whole only if it ends after an event."""
+    answer = _frame(EVENTS, framing, b'Stream: 1')
+    head_size = answer.index(b'\r\n\r\n') + 4
+    ends = {head_size + len(b''.join(EVENTS[:count])) for count in range(4)}
+    target = RawTarget(is_reset=is_reset)
+    harness = make_harness(target)
+    for size in [*range(0, head_size, 8), *range(head_size, len(answer))]:
+        target.answer = answer[:size]
+        status, body, is_whole = _ask(harness, b'/talk/1')
+        if status == b'200' and is_whole:
+            assert framing == 'none' and not is_reset and size in ends
+        assert status in (b'200', b'502')
+    target.answer = answer
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    if not is_reset:
+        assert (status, is_whole) == (b'200', True)
+        assert body.count(b'id: ') == 3
+
+
+@pytest.mark.parametrize('framing', FRAMINGS)
+def test_stream_that_ends_inside_an_event_goes_on_elsewhere(
+    make_harness, framing
+):
+    """Also one whose framing says that it is complete."""
+    cut = RawTarget(_frame([*EVENTS, b'id: 4\nda'], framing, b'Stream: 1'))
+    rest = [b'id: 4\ndata: x\n\n', b'id: 5\ndata: x\n\n']
+    harness = make_harness(cut, RawTarget(_frame(rest, framing, b'Stream: 1')))
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', True)
+    counts = [body.count(b'id: %d\n' % number) for number in range(1, 6)]
+    assert counts == [1] * 5
+
+
+# A target wrote an earlier refusal once more, and callers were told that a
+# request had not run which then ran.
+@pytest.mark.parametrize('path', [b'/book/1', b'/talk/1', b'/read/1'])
+def test_refusal_of_another_request_is_no_promise(make_harness, path):
+    """The refusal comes where the answer to a request is due."""
+    refusal = (
+        b'HTTP/1.1 503 X\r\nId: 6\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    target = RawTarget(refusal + _frame([BODY], 'length'))
+    harness = make_harness(target)
+    status, body, _ = _ask(harness, path)
+    assert status == b'502'
+    assert len(target.requests) == 1
+
+
+def test_refusal_after_the_answer_changes_nothing(make_harness):
+    """A second answer on the same connection belongs to no request."""
+    refusal = (
+        b'HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    target = RawTarget(_frame([BODY], 'length') + refusal)
+    harness = make_harness(target)
+    for _ in range(3):
+        status, body, _ = _ask(harness, b'/book/1')
+        assert (status, body) == (b'200', BODY)
+    assert len(target.requests) == 3
