Run the raw targets of a test in its reactor

Three tests of test_cut_answers.py failed once, beside a busy machine: the targets ran in threads while the test's clock skips ahead with each turn of the reactor, so that a thread that was not scheduled in time let deadlines pass. As part of the reactor they take part in its turns.

--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -5,9 +5,9 @@
 """
 
 import contextlib
+import selectors
 import socket
 import struct
-import threading
 
 import pytest
 
@@ -28,34 +28,57 @@
         self.is_reset = is_reset
         self.requests = []
         self._listener = socket.create_server(('127.0.0.1', 0))
+        self._listener.setblocking(False)
         self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
-        threading.Thread(target=self._serve, daemon=True).start()
+
+    def open(self, reactor):
+        """Accept connections."""
+        self._reactor = reactor
+        reactor.watch(self._listener, selectors.EVENT_READ, self._accept)
 
     def close(self):
         """Refuse further connections."""
+        self._reactor.unwatch(self._listener)
         self._listener.close()
 
-    def _serve(self):
+    def _accept(self, events):
+        sock, _ = self._listener.accept()
+        sock.setblocking(False)
+        request = bytearray()
+        self._reactor.watch(
+            sock,
+            selectors.EVENT_READ,
+            lambda events: self._receive(sock, request),
+        )
+
+    def _receive(self, sock, request):
+        received = sock.recv(65536)
+        request += received
+        if not received:
+            self._end(sock)
+        elif request.endswith(b'\r\n\r\nhi'):
+            self.requests.append(bytes(request))
+            unsent = bytearray(self.answer)
+            self._reactor.watch(
+                sock,
+                selectors.EVENT_WRITE,
+                lambda events: self._send(sock, unsent),
+            )
+
+    def _send(self, sock, unsent):
         with contextlib.suppress(OSError):
-            while True:
-                sock, _ = self._listener.accept()
-                self._respond(sock)
-
-    def _respond(self, sock):
-        with sock, contextlib.suppress(OSError):
-            sock.settimeout(5.0)
-            data = bytearray()
-            while not data.endswith(b'\r\n\r\nhi'):
-                received = sock.recv(65536)
-                if not received:
-                    return
-                data += received
-            self.requests.append(bytes(data))
-            sock.sendall(self.answer)
+            del unsent[: sock.send(unsent)]
+            if unsent:
+                return
             if self.is_reset:
                 sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
                 )
+        self._end(sock)
+
+    def _end(self, sock):
+        self._reactor.unwatch(sock)
+        sock.close()
 
 
 def _make_head(status, *headers):
@@ -84,6 +107,7 @@
         def make(*raw_targets):
             harness = harness_module.Harness(stack)
             for target in raw_targets:
+                target.open(harness.reactor)
                 stack.callback(target.close)
             harness.announce = lambda: harness.balancer.set_targets(
                 targets.Target(
