Never continue a stream with an answer that is none

What callers saw: a stream had begun and broke off, and the target that should have continued it answered with an error of more than 128 KiB. The error's text was passed on in the middle of the stream, wherever it had a blank line, and the stream ended as complete. Without anything sent before, such an error ended as broken off instead of reaching the caller whole.

Cause: whether a body is split into events was decided by the route, not by the answer; an answer beyond what is buffered was forwarded as if it were events. Smaller ones broke the caller's stream off, as they should, but were logged as answered.

Change: only a successful event stream is split into events. Another answer where a stream should go on fails the attempt, and the next target is tried or the stream broken off; it is logged as a broken stream. Where nothing was sent yet, it is forwarded as it is, in full.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -91,6 +91,15 @@
             return False
         return self.response is None or not self.response.is_refused
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Return whether the target answers with a stream of events."""
+        return (
+            self.response is not None
+            and self.response.is_success
+            and self.response.is_stream
+        )
+
     def send(self, headers: http1.Headers) -> None:
         """Send the request to the target.
 
@@ -125,7 +134,7 @@
             self._listener.handle_refusal(self)
         elif response.is_success and not _is_from_target(response):
             self._fail('unsigned_answer')
-        elif response.is_success and response.is_stream:
+        elif self.is_event_stream:
             self._begin_forwarding()
 
     def _begin_forwarding(self) -> None:
@@ -147,7 +156,8 @@
             buffered = bytes(self.buffered_body)
             self.buffered_body.clear()
             self._begin_forwarding()
-            self._listener.forward_data(self, buffered)
+            if not self.is_over:
+                self._listener.forward_data(self, buffered)
 
     def handle_response_end(self) -> None:
         """Report that the response is complete."""
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -72,6 +72,8 @@
         # Its error response is forwarded if no retry succeeds.
         self._failed_attempt: attempt_module.Attempt | None = None
         self._event_stream = events.ResumableEventStream(request.last_event_id)
+        # Whether the caller has events of a stream, which others may continue.
+        self._has_sent_events = False
         self._first_byte_s: float | None = None
         self._silence_timer: reactor_module.Timer | None = None
         self._stall_watch: stalls.StallWatch | None = None
@@ -162,8 +164,18 @@
         """
         self._cancel_silence_timers()
         self._forwarder.balancer.record_response_started(self.service)
-        if not self._is_stream():
-            self._start_response(attempt)
+        if self._has_events(attempt):
+            return
+        if self.progress.is_response_started:
+            # The caller has a part of a stream, and this is none.
+            attempt.abort()
+            self.handle_failure(attempt, 'no_stream')
+            return
+        self._start_response(attempt)
+
+    def _has_events(self, attempt: attempt_module.Attempt) -> bool:
+        """Return whether an attempt's body is passed on event by event."""
+        return self._is_stream() and attempt.is_event_stream
 
     def _start_response(self, attempt: attempt_module.Attempt) -> None:
         """Send the head of the response to the caller."""
@@ -177,10 +189,10 @@
         self, attempt: attempt_module.Attempt, data: bytes
     ) -> None:
         """Forward a part of the body; of a stream, its complete events."""
-        if not self._is_stream():
-            self._exchange.write(data)
-        else:
+        if self._has_events(attempt):
             self._forward_events(attempt, data)
+        else:
+            self._exchange.write(data)
         if self._exchange.is_congested and not attempt.is_over:
             attempt.call.pause()
 
@@ -220,6 +232,7 @@
             )
         attempt.last_event_at_s = now_s
         self._record_answer(attempt)
+        self._has_sent_events = True
         self._forwarder.event_log.record(
             self.service, attempt.target.id, now_s
         )
@@ -287,6 +300,10 @@
             self.handle_failure(attempt, 'closed_early')
             return
         self._close_attempt(attempt, f'status_{response.status}')
+        if self.progress.is_response_started and not attempt.is_forwarding:
+            # Instead of the rest of a stream the target sent something else.
+            self.give_up(const.Reason.TARGET_FAILED)
+            return
         self._forwarder.balancer.record_response_started(self.service)
         if response.is_success:
             self._record_success(attempt)
@@ -318,10 +335,6 @@
             if not self.progress.is_response_started:
                 self._start_response(attempt)
             self._exchange.end()
-        elif self.progress.is_response_started:
-            # A target that should have resumed the stream responded with an
-            # error: the caller has a part of a stream that won't continue.
-            self._exchange.abort()
         else:
             self._first_byte_s = self._forwarder.reactor.now()
             self._exchange.respond(
@@ -375,7 +388,7 @@
     def _retry_or_give_up(self, reason: const.Reason) -> None:
         if self._is_over:
             return
-        if self.progress.is_response_started and not self._is_stream():
+        if self.progress.is_response_started and not self._has_sent_events:
             self.give_up(reason)
         elif self.suspicion.judge().is_forbidden:
             self.give_up(const.Reason.SUSPECT)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -109,7 +109,7 @@
             for target in raw_targets:
                 target.open(harness.reactor)
                 stack.callback(target.close)
-            harness.announce = lambda: harness.balancer.set_targets(
+            harness.balancer.set_targets(
                 targets.Target(
                     id=f't{index}',
                     service='app',
@@ -122,7 +122,6 @@
                 )
                 for index, target in enumerate(raw_targets)
             )
-            harness.announce()
             return harness
 
         yield make
@@ -153,6 +152,17 @@
     return status, body, _is_whole(data)
 
 
+def _join_chunks(body):
+    """Return the content of a complete body in chunks."""
+    content = bytearray()
+    while True:
+        size, _, body = body.partition(b'\r\n')
+        if not int(size, 16):
+            return bytes(content)
+        content += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+
+
 def _is_whole(data):
     return b'\r\n\r\n' in data and harness_module.is_complete(bytes(data))
 
@@ -218,6 +228,40 @@
     assert counts == [1] * 5
 
 
+# Callers found the text of an error in the middle of their stream, or the
+# stream ended as if it were complete.
+@pytest.mark.parametrize('status', [200, 400, 404, 500, 503])
+@pytest.mark.parametrize('framing', ['length', 'none'])
+@pytest.mark.parametrize('count', [1, 20_000])
+def test_other_answer_never_continues_a_stream(
+    make_harness, status, framing, count
+):
+    """Whatever its size and framing, the caller's stream is broken off."""
+    text = b'error text\n\n' * count
+    headers = [b'Content-Type: text/plain']
+    if framing == 'length':
+        headers.append(b'Content-Length: %d' % len(text))
+    cut = RawTarget(_frame([*EVENTS, b'id: 4'], 'chunks', b'Stream: 1')[:-9])
+    error = RawTarget(_make_head(status, *headers) + text)
+    harness = make_harness(cut, error)
+    caller_status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (caller_status, is_whole) == (b'200', False)
+    assert len(error.requests) == 1
+    assert body.count(b'id: ') == 3
+    assert b'error' not in body and b'HTTP' not in body
+
+
+@pytest.mark.parametrize('count', [1, 20_000])
+def test_error_instead_of_a_stream_is_forwarded_as_it_is(make_harness, count):
+    """Nothing of a stream was sent, so the caller gets the target's error."""
+    text = b'error text\n\n' * count + b'end'
+    length = b'Content-Length: %d' % len(text)
+    harness = make_harness(RawTarget(_make_head(500, length) + text))
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'500', True)
+    assert (_join_chunks(body) if count > 1 else body) == text
+
+
 # A target wrote an earlier refusal once more, and callers were told that a
 # request had not run which then ran.
 @pytest.mark.parametrize('path', [b'/book/1', b'/talk/1', b'/read/1'])
