Take a reset for no regular end on kept connections

Nobody has reported it: an agent's poll of its engine whose response had no length and was reset on the way was taken for complete with the part that had arrived. An error of the socket was handled like its close. Now it ends the call as failed, or makes it again on a new connection if a kept one was dropped before the response.

test_only_a_close_ends_a_response_without_length[True-0] failed before with (200, part).

--- a/packages/core/src/bambooring_core/http1/kept.py
+++ b/packages/core/src/bambooring_core/http1/kept.py
@@ -165,7 +165,9 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b''
+            # A reset is no regular end, not even of a body without a length.
+            self._handle_close()
+            return
         if not data and self._http.their_state is h11.SEND_RESPONSE:
             self._handle_close()
             return
--- a/packages/core/src/bambooring_core/http1/tests/test_kept.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_kept.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 
 import pytest
 
@@ -242,3 +243,25 @@
         server.run_until(lambda: responses)
         assert responses == [(0, b'')]
         assert len(server.connections) == 1
+
+
+# A poll took the first part of a report for the whole, because its server
+# had sent no length and then reset the connection.
+@pytest.mark.parametrize(('is_reset', 'status'), [(False, 200), (True, 0)])
+def test_only_a_close_ends_a_response_without_length(is_reset, status):
+    """A response that is reset on the way is not complete."""
+    with _open() as (server, connection):
+        results = []
+        connection.call(
+            'GET', '/', [(b'Host', b'h')], lambda *args: results.append(args)
+        )
+        server.read_request(0)
+        server.connections[0].send(b'HTTP/1.1 200 OK\r\n\r\npart')
+        server.run_until(lambda: connection._body == b'part')
+        if is_reset:
+            server.connections[0].setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+        server.connections[0].close()
+        server.run_until(lambda: results)
+        assert results == [(status, b'part')]
