--- /dev/null
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_relay.py
@@ -0,0 +1,86 @@
+"""Test that news of crashes reach each instance through control replicas."""
+
+from bambooring.crashes import causes as causes_module
+from bambooring.crashes import messages
+from bambooring.crashes import relay as relay_module
+from bambooring.crashes import state
+from bambooring_core import clock as clock_module
+from bambooring_core import codec
+from bambooring_core import reactor as reactor_module
+
+CAUSES = causes_module.compute_causes(
+    prompt_parts=('deadly', 'own'),
+    method='POST',
+    request_target='/a',
+    account='',
+    body=b'',
+)
+
+
+class FakeLink:
+    """A link that keeps what is sent, as the other end decodes it."""
+
+    def __init__(self, name):
+        self.name = name
+        self.sent = []
+
+    def send(self, message):
+        """Keep a message."""
+        self.sent.append(codec.unpack(codec.pack(message)))
+
+
+def _make_news():
+    return state.CrashLedger().record_crash(
+        5, CAUSES, is_group=True, now_s=10.0
+    )
+
+
+def _make_relay(links):
+    reactor = reactor_module.Reactor(clock_module.ManualClock())
+    return relay_module.CrashRelay(reactor=reactor, get_links=lambda: links)
+
+
+def test_news_reach_all_but_their_sender_once():
+    """Two replicas that pass on to each other don't do so endlessly."""
+    links = [FakeLink(name) for name in ('entry1', 'entry2', 'control2')]
+    relay = _make_relay(links)
+    news = _make_news()
+    for _ in range(3):
+        relay.handle(links[0], news)
+        relay.handle(links[2], news)
+    assert [len(link.sent) for link in links] == [0, 1, 1]
+    assert links[1].sent == [news]
+
+
+def test_new_link_gets_all_that_is_known():
+    """All entry instances may have restarted meanwhile."""
+    relay = _make_relay([])
+    empty = FakeLink('entry0')
+    relay.send_all(empty)
+    assert not empty.sent
+    relay.handle(FakeLink('entry1'), _make_news())
+    link = FakeLink('entry2')
+    relay.send_all(link)
+    ledger = state.CrashLedger()
+    ledger.merge(link.sent[0], 20.0)
+    verdict = ledger.judge(CAUSES, 21.0)
+    assert verdict.decision is state.Decision.QUARANTINED
+
+
+def test_acquittal_that_overtakes_its_crash_is_kept():
+    """News of two instances take different ways."""
+    links = [FakeLink('entry1'), FakeLink('entry2')]
+    relay = _make_relay(links)
+    crash = _make_news()
+    key = CAUSES.shared_parts[0]
+    relay.handle(
+        links[0],
+        messages.CrashNews(
+            acquittals=[messages.Acquittal(key=key, crash_ids=[5])]
+        ),
+    )
+    relay.handle(links[0], crash)
+    ledger = state.CrashLedger()
+    for news in links[1].sent:
+        ledger.merge(news, 20.0)
+    assert ledger.judge(CAUSES, 21.0) is state.CLEAR
