Pass on each step of a trial, and each crash, once

Two control replicas would have passed the end of a trial on to each other endlessly, since an end counted as news each time, and so a crash that was dropped at once, because it was too old or a full ledger had only newer ones. Entry instances would have got each copy.

An end is news only while that trial runs, a begin only while it doesn't, and what would not be kept is no news. Kept crashes also expire when a request is judged, not only with the next news.

--- a/packages/bambooring/src/bambooring/crashes/state.py
+++ b/packages/bambooring/src/bambooring/crashes/state.py
@@ -217,9 +217,12 @@
         self, crash: messages.Crash, now_s: float
     ) -> list[messages.Suspect]:
         """Add a crash or its further suspects; return those that are new."""
+        at_s = now_s - crash.age_ms / 1000
         known = self._crashes.get(crash.id)
         if known is None:
-            known = self._make_crash(now_s - crash.age_ms / 1000)
+            if not self._has_room(at_s, now_s):
+                return []
+            known = self._make_crash(at_s)
             self._crashes[crash.id] = known
         known.quarantine_s = max(
             known.quarantine_s, crash.quarantine_ms / 1000
@@ -240,6 +243,17 @@
                 self._trial_until_s = now_s
         return new_suspects
 
+    def _has_room(self, at_s: float, now_s: float) -> bool:
+        """Return whether a crash would be kept.
+
+        One that was dropped at once would be passed on as news each time.
+        """
+        if now_s - at_s > const.CRASH_TTL_S:
+            return False
+        if len(self._crashes) < const.MAX_CRASHES:
+            return True
+        return at_s > min(crash.at_s for crash in self._crashes.values())
+
     def _make_crash(self, at_s: float) -> _Crash:
         return _Crash(
             at_s=at_s, quarantine_s=0.0, suspects={}, acquitted=set()
@@ -296,22 +310,35 @@
         return is_news
 
     def _apply_trial(self, trial: messages.Trial, now_s: float) -> bool:
-        until_s = now_s + trial.time_left_ms / 1000
-        if trial.key != self._trial_key and until_s <= self._trial_until_s:
+        """Record that a trial begins or ends; return whether it is news."""
+        is_busy = now_s < self._trial_until_s
+        is_same = trial.key == self._trial_key
+        if not trial.time_left_ms:
+            if is_busy and is_same:
+                self._trial_until_s = now_s
+                return True
+            return False
+        if is_busy and is_same:
             return False
-        is_new = trial.key != self._trial_key or not trial.time_left_ms
-        is_new = is_new or self._trial_until_s <= now_s
         self._trial_key = trial.key
-        self._trial_until_s = until_s
-        return is_new
+        self._trial_until_s = max(
+            self._trial_until_s, now_s + trial.time_left_ms / 1000
+        )
+        return True
 
     def judge(self, causes: causes_module.Causes, now_s: float) -> Verdict:
         """Decide whether a request may be sent to a target."""
-        if not self._crash_ids_by_key:
+        suspects = [
+            key
+            for key in (*causes.shared_parts, causes.request)
+            if key in self._crash_ids_by_key
+        ]
+        if not suspects:
             return CLEAR
+        self._expire(now_s)
         blamed_by_key = {
             key: blamed
-            for key in (*causes.shared_parts, causes.request)
+            for key in suspects
             if key in self._crash_ids_by_key
             and (blamed := self._list_crashes_by(key))
         }
--- a/packages/bambooring/src/bambooring/crashes/tests/test_relay.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Test that news of crashes reach each instance through control replicas."""
 
 from bambooring.crashes import causes as causes_module
+from bambooring.crashes import const
 from bambooring.crashes import messages
 from bambooring.crashes import relay as relay_module
 from bambooring.crashes import state
@@ -52,6 +53,47 @@
     assert links[1].sent == [news]
 
 
+# Two control replicas passed the end of a trial on to each other endlessly.
+def test_each_step_of_a_trial_is_passed_on_once():
+    """A trial begins, ends without a result, and another one begins."""
+    links = [FakeLink(name) for name in ('entry1', 'entry2', 'control2')]
+    relay = _make_relay(links)
+    for time_left_ms in (5000, 0, 5000, 0):
+        trial = messages.Trial(key=7, time_left_ms=time_left_ms)
+        for _ in range(3):
+            relay.handle(links[0], messages.CrashNews(trials=[trial]))
+            relay.handle(links[2], messages.CrashNews(trials=[trial]))
+    told = [news.trials[0].time_left_ms for news in links[1].sent]
+    assert told == [5000, 0, 5000, 0]
+
+
+# A crash that a full replica dropped at once would be news each time.
+def test_crash_that_is_not_kept_is_not_passed_on():
+    """It is too old, or older than all that there is room for."""
+    link = FakeLink('entry2')
+    relay = _make_relay([link])
+    suspect = messages.Suspect(key=1, kind=messages.CauseKind.NEW_PART)
+
+    def tell(crash_id, age_s):
+        crash = messages.Crash(
+            id=crash_id,
+            age_ms=round(1000 * age_s),
+            quarantine_ms=1000,
+            suspects=[suspect],
+        )
+        relay.handle(FakeLink('entry1'), messages.CrashNews(crashes=[crash]))
+
+    tell(0, const.CRASH_TTL_S + 1.0)
+    assert not link.sent
+    for crash_id in range(1, const.MAX_CRASHES + 1):
+        tell(crash_id, 10.0)
+    assert len(link.sent) == const.MAX_CRASHES
+    tell(const.MAX_CRASHES + 1, 20.0)
+    assert len(link.sent) == const.MAX_CRASHES
+    tell(const.MAX_CRASHES + 2, 1.0)
+    assert len(link.sent) == const.MAX_CRASHES + 1
+
+
 def test_new_link_gets_all_that_is_known():
     """All entry instances may have restarted meanwhile."""
     relay = _make_relay([])
--- a/packages/bambooring/src/bambooring/crashes/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_state.py
@@ -9,7 +9,6 @@
 
 from bambooring.crashes import causes as causes_module
 from bambooring.crashes import const
-from bambooring.crashes import messages
 from bambooring.crashes import state
 
 CRASH_IDS = itertools.count(1)
@@ -264,8 +263,6 @@
     """A part may have been mended, and an engine replaced."""
     fleet.crash('system deadly one')
     fleet.now_s += const.CRASH_TTL_S + 1.0
-    for ledger in fleet.ledgers:
-        ledger.merge(messages.CrashNews(), fleet.now_s)
     assert fleet.decide('system deadly two') is state.Decision.CLEAR
 
 
