Log what each attempt has sent of a stream

Cause: the log line of a request names its attempts and how they ended, not how many events each sent, under which ids, and whether it ended inside an event. So an answer that isn't the caller's own can't be explained from it.

Change: each attempt of a stream tells the number of complete events, the first and the last id, events without an id or whose id runs back, and the bytes of the incomplete event at its end. No logic is changed.

Measured: forwarding tests pass.

--- a/packages/bambooring/src/bambooring/forwarding/access_log.py
+++ b/packages/bambooring/src/bambooring/forwarding/access_log.py
@@ -18,7 +18,7 @@
     ``running`` is the number of requests that the target had when it was
     chosen, ``candidates`` the number of targets that it was chosen from.
     ``report_age_ms`` is the age of the oldest load report used. ``has_begun``
-    is true if the target began to answer.
+    is true if the target began to answer, ``events`` what it sent of a stream.
     """
 
     target: str
@@ -28,6 +28,7 @@
     outcome: str = ''
     duration_ms: int = 0
     has_begun: bool = False
+    events: str = ''
 
     @classmethod
     def make(cls, choice: balancing.Choice) -> 'AttemptRecord':
@@ -45,7 +46,7 @@
             f'{self.target} running={self.running}'
             f' of={self.candidates} age={self.report_age_ms}'
             f' {self.outcome} {self.duration_ms}ms'
-            f'{" begun" if self.has_begun else ""}'
+            f'{" begun" if self.has_begun else ""}{self.events}'
         )
 
 
--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -1,11 +1,51 @@
 """Split an event stream into events and resume it at another target."""
 
 import collections.abc
+import dataclasses
 
 from bambooring.forwarding import const
 from bambooring.forwarding import errors
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class EventCounts:
+    """What one response has sent of a stream, for the log.
+
+    ``unnumbered`` counts events without an id, ``disordered`` those whose id
+    is not higher than that of the event before. ``partial_bytes`` is the size
+    of the incomplete event at the end.
+    """
+
+    complete: int = 0
+    unnumbered: int = 0
+    disordered: int = 0
+    first_id: int | None = None
+    last_id: int | None = None
+    partial_bytes: int = 0
+
+    def add(self, event_id: int | None) -> None:
+        """Count a complete event."""
+        self.complete += 1
+        if event_id is None:
+            self.unnumbered += 1
+            return
+        if self.first_id is None:
+            self.first_id = event_id
+        elif self.last_id is not None and event_id <= self.last_id:
+            self.disordered += 1
+        self.last_id = event_id
+
+    def format(self) -> str:
+        """Return the text of the counts in a log line, '' for no stream."""
+        if not self.complete and not self.partial_bytes:
+            return ''
+        return (
+            f' events={self.complete} ids={self.first_id}..{self.last_id}'
+            f' unnumbered={self.unnumbered} disordered={self.disordered}'
+            f' partial={self.partial_bytes}B'
+        )
+
+
 class ResumableEventStream:
     """Extract complete events, each once and in order.
 
@@ -17,10 +57,11 @@
     ``last_event_id`` is the last event that the caller has.
     """
 
-    __slots__ = ('_buffer', '_must_be_contiguous', 'last_event_id')
+    __slots__ = ('_buffer', '_counts', '_must_be_contiguous', 'last_event_id')
 
     def __init__(self, last_event_id: int | None) -> None:
         self._buffer = bytearray()
+        self._counts = EventCounts()
         self._must_be_contiguous = False
         self.last_event_id = last_event_id
 
@@ -29,6 +70,12 @@
         """Return whether the start of an incomplete event is buffered."""
         return bool(self._buffer)
 
+    def take_counts(self) -> EventCounts:
+        """Return the counts since the last call."""
+        counts, self._counts = self._counts, EventCounts()
+        counts.partial_bytes = len(self._buffer)
+        return counts
+
     def restart(self) -> None:
         """Expect another response that continues the events passed on."""
         self._buffer.clear()
@@ -51,7 +98,9 @@
                 return
             event = bytes(self._buffer[:end])
             del self._buffer[:end]
-            if self._accept_event_id(_read_event_id(event)):
+            event_id = _read_event_id(event)
+            self._counts.add(event_id)
+            if self._accept_event_id(event_id):
                 yield event
 
     def _accept_event_id(self, event_id: int | None) -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -420,6 +420,7 @@
         elapsed_s = self._forwarder.reactor.now() - attempt.began_s
         record.duration_ms = round(elapsed_s * 1000)
         record.has_begun = attempt.has_begun
+        record.events = self._event_stream.take_counts().format()
         if not suspicions.may_be_crash(outcome):
             self.suspicion.end_attempt()
         self._forwarder.release_attempt(attempt)
