Give each attempt of a stream a reader of its own

What callers saw: a whole stream, signed by the target that sent it, whose first event began with bytes of another target's broken answer.

Cause: the reader of events belonged to the request. What a failed attempt had sent of its first event stayed in the buffer, and was put before the next attempt's first event. It was cleared only if the caller already had a part of the stream, so only streams that broke off inside their very first event were hit, and tests cut streams after whole events.

Change: an attempt gets its reader when it begins, and what the reader has buffered ends with it. What outlives an attempt is only the id of the last event that the caller has.

Before: the new test failed in all six framings and endings (b'iid: 1...' for b'id: 1...' and so on). After: the forwarding tests pass.

Conclusion: the cause is removed by ownership, not by clearing at each place where an attempt ends.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -4,6 +4,7 @@
 
 from bambooring.balancing import state as balancing
 from bambooring.forwarding import const
+from bambooring.forwarding import events as events_module
 from bambooring.forwarding import messages
 from bambooring_core.http1 import client
 from bambooring_core.http1 import errors as http1_errors
@@ -62,6 +63,7 @@
         make_call: client.CallFactory,
         request: messages.CallerRequest,
         choice: balancing.Choice,
+        events: events_module.EventReader,
     ) -> None:
         self._listener = listener
         self._request = request
@@ -73,6 +75,7 @@
         self.has_begun = False
         self.response: messages.TargetResponse | None = None
         self.buffered_body = bytearray()
+        self.events = events
         # The tokens of the prompt until the target has read them.
         self.unread_tokens = request.prompt_tokens
         self.is_over = False
--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -1,4 +1,4 @@
-"""Split an event stream into events and resume it at another target."""
+"""Split event streams into events, and continue them at another target."""
 
 import collections.abc
 import dataclasses
@@ -46,40 +46,53 @@
         )
 
 
-class ResumableEventStream:
-    """Extract complete events, each once and in order.
+class DeliveredEvents:
+    """The events of a stream that a caller has, from whichever responses.
 
-    The stream may come from several responses, each of which continues the
-    one before. Only complete events are passed on, so a response that breaks
-    off in the middle of an event leaves no partial event at the caller that
-    the next response would have to complete.
+    ``last_id`` is the id of the last one, None if the caller has none.
+    """
+
+    __slots__ = ('last_id',)
+
+    def __init__(self, last_id: int | None) -> None:
+        self.last_id = last_id
 
-    ``last_event_id`` is the last event that the caller has.
+
+class EventReader:
+    """Extract the new events of one response, each once and in order.
+
+    A stream may come from several responses, each of which continues the one
+    before, and each has a reader of its own. Only complete events are passed
+    on, so a response that breaks off in the middle of an event leaves nothing
+    at the caller that the next response would have to complete.
     """
 
-    __slots__ = ('_buffer', '_counts', '_must_be_contiguous', 'last_event_id')
+    __slots__ = ('_buffer', '_counts', '_delivered', '_must_be_contiguous')
+
+    def __init__(
+        self, delivered: DeliveredEvents, *, is_continuation: bool
+    ) -> None:
+        """Create a reader.
 
-    def __init__(self, last_event_id: int | None) -> None:
+        :param delivered: the events that the caller has, which is updated
+        :param is_continuation: whether they come from an earlier response
+        """
         self._buffer = bytearray()
         self._counts = EventCounts()
-        self._must_be_contiguous = False
-        self.last_event_id = last_event_id
+        self._delivered = delivered
+        self._must_be_contiguous = is_continuation
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the start of an incomplete event is buffered."""
         return bool(self._buffer)
 
-    def take_counts(self) -> EventCounts:
-        """Return the counts since the last call."""
-        counts, self._counts = self._counts, EventCounts()
-        counts.partial_bytes = len(self._buffer)
-        return counts
-
-    def restart(self) -> None:
-        """Expect another response that continues the events passed on."""
-        self._buffer.clear()
-        self._must_be_contiguous = self.last_event_id is not None
+    @property
+    def counts(self) -> EventCounts:
+        """Return what the response has sent so far."""
+        return dataclasses.replace(
+            self._counts, partial_bytes=len(self._buffer)
+        )
 
     def feed(self, data: bytes) -> collections.abc.Iterator[bytes]:
         """Add a part of the response's body and yield the complete events.
@@ -106,14 +119,14 @@
     def _accept_event_id(self, event_id: int | None) -> bool:
         """Return whether an event is new, and store its id.
 
-        After a restart, events that the caller already has are dropped up to
-        the first new one, which must follow without a gap.
+        In a continuation, events that the caller already has are dropped up
+        to the first new one, which must follow without a gap.
 
         :raises StreamGapError: if an event is skipped
         """
         if event_id is None:
             return True
-        last_id = self.last_event_id
+        last_id = self._delivered.last_id
         if self._must_be_contiguous and last_id is not None:
             if event_id <= last_id:
                 return False
@@ -122,7 +135,7 @@
                     f'event {event_id} follows event {last_id}'
                 )
         self._must_be_contiguous = False
-        self.last_event_id = event_id
+        self._delivered.last_id = event_id
         return True
 
 
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -71,7 +71,7 @@
         self._attempt: attempt_module.Attempt | None = None
         # Its error response is forwarded if no retry succeeds.
         self._failed_attempt: attempt_module.Attempt | None = None
-        self._event_stream = events.ResumableEventStream(request.last_event_id)
+        self._delivered_events = events.DeliveredEvents(request.last_event_id)
         # Whether the caller has events of a stream, which others may continue.
         self._has_sent_events = False
         self._first_byte_s: float | None = None
@@ -148,7 +148,14 @@
             target_id=target_id,
             account=self.account.name if self.account else '',
             time_left_s=self.get_time_left_s(),
-            last_event_id=self._event_stream.last_event_id,
+            last_event_id=self._delivered_events.last_id,
+        )
+
+    def make_event_reader(self) -> events.EventReader:
+        """Return a reader for the events of an attempt that begins."""
+        return events.EventReader(
+            self._delivered_events,
+            is_continuation=self.progress.is_response_started,
         )
 
     def read_response_head(
@@ -202,7 +209,7 @@
         complete_events: list[bytes] = []
         failure: errors.StreamGapError | None = None
         try:
-            complete_events.extend(self._event_stream.feed(data))
+            complete_events.extend(attempt.events.feed(data))
         except errors.StreamGapError as error:
             failure = error
         if complete_events:
@@ -274,7 +281,6 @@
         if not self._claim_retry('stalled'):
             return
         self._abort_attempt('stalled')
-        self._event_stream.restart()
         self._forwarder.dispatch_or_queue(self)
 
     def _resume_reading(self) -> None:
@@ -295,7 +301,7 @@
                 self._forwarder.eject_target(attempt.target.id, 'server_error')
             self._forwarder.dispatch_or_queue(self)
             return
-        if attempt.is_forwarding and self._event_stream.has_partial_event:
+        if attempt.is_forwarding and attempt.events.has_partial_event:
             # Whatever its framing says, the stream has been broken off.
             self.handle_failure(attempt, 'closed_early')
             return
@@ -368,8 +374,6 @@
         else:
             self.progress.refused_count += 1
         self._forwarder.eject_target(attempt.target.id, failure)
-        if self.progress.is_response_started:
-            self._event_stream.restart()
         # A target that is leaving ends without having crashed.
         if (
             suspicions.may_be_crash(failure)
@@ -420,7 +424,7 @@
         elapsed_s = self._forwarder.reactor.now() - attempt.began_s
         record.duration_ms = round(elapsed_s * 1000)
         record.has_begun = attempt.has_begun
-        record.events = self._event_stream.take_counts().format()
+        record.events = attempt.events.counts.format()
         if not suspicions.may_be_crash(outcome):
             self.suspicion.end_attempt()
         self._forwarder.release_attempt(attempt)
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -301,6 +301,7 @@
             make_call=self._make_call,
             request=pending.request,
             choice=choice,
+            events=pending.make_event_reader(),
         )
         headers = self._dialect.write_attempt_headers(
             pending.request, pending.make_attempt_metadata(choice.target.id)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -228,6 +228,29 @@
     assert counts == [1] * 5
 
 
+# Callers found the first bytes of a broken answer before the whole one that
+# another target sent.
+@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_attempt_that_broke_off_leaves_nothing_in_the_next_answer(
+    make_harness, framing, is_reset
+):
+    """Wherever the first event breaks off, its bytes are dropped."""
+    whole = _frame(EVENTS, framing, b'Stream: 1')
+    cut, sound = RawTarget(is_reset=is_reset), RawTarget(whole)
+    harness = make_harness(cut, sound)
+    head_size = whole.index(b'\r\n\r\n') + 4
+    for size in range(head_size, whole.index(b'\n\n', head_size) + 2):
+        cut.answer = whole[:size]
+        status, body, is_whole = _ask(harness, b'/talk/1')
+        if size == head_size and framing == 'none' and not is_reset:
+            # An answer without a length that has no event may be whole.
+            assert (status, body) == (b'200', b'0\r\n\r\n')
+            continue
+        assert (status, is_whole) == (b'200', True)
+        assert _join_chunks(body) == b''.join(EVENTS)
+
+
 # Callers found the text of an error in the middle of their stream, or the
 # stream ended as if it were complete.
 @pytest.mark.parametrize('status', [200, 400, 404, 500, 503])
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_events.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_events.py
@@ -16,19 +16,24 @@
     ]
 
 
+def _continue_stream(delivered):
+    return events.EventReader(delivered, is_continuation=True)
+
+
 def _feed(stream, data):
     return list(stream.feed(data))
 
 
 def test_partial_event_is_buffered():
     """Only complete events are passed on."""
-    stream = events.ResumableEventStream(None)
+    delivered = events.DeliveredEvents(None)
+    stream = events.EventReader(delivered, is_continuation=False)
     all_events = _make_events(1, 2)
     assert _feed(stream, all_events[0] + all_events[1][:5]) == all_events[:1]
     assert stream.has_partial_event
     assert _feed(stream, all_events[1][5:]) == all_events[1:]
     assert not stream.has_partial_event
-    assert stream.last_event_id == 2
+    assert delivered.last_id == 2
 
 
 @hypothesis.given(
@@ -40,14 +45,15 @@
 def test_resumed_stream_is_complete(cut_index, overlap, chunk_size, line_end):
     """Wherever a stream is cut and resumed, each event comes once."""
     all_events = _make_events(1, 12, line_end)
-    stream = events.ResumableEventStream(None)
+    delivered = events.DeliveredEvents(None)
+    stream = events.EventReader(delivered, is_continuation=False)
     first_response = (
         b''.join(all_events[:cut_index]) + all_events[cut_index][:7]
     )
     received = []
     for start in range(0, len(first_response), chunk_size):
         received += _feed(stream, first_response[start : start + chunk_size])
-    stream.restart()
+    stream = _continue_stream(delivered)
     resumed = b''.join(all_events[max(0, cut_index - overlap) :])
     for start in range(0, len(resumed), chunk_size):
         received += _feed(stream, resumed[start : start + chunk_size])
@@ -56,15 +62,17 @@
 
 def test_gap_is_refused():
     """A resumed response that skips an event is refused."""
-    stream = events.ResumableEventStream(None)
+    delivered = events.DeliveredEvents(None)
+    stream = events.EventReader(delivered, is_continuation=False)
     _feed(stream, b''.join(_make_events(1, 3)))
-    stream.restart()
+    stream = _continue_stream(delivered)
     with pytest.raises(errors.StreamGapError):
         _feed(stream, _make_events(5, 5)[0])
 
 
 def test_caller_resumes_a_stream():
     """A caller that already has events gets those that follow."""
-    stream = events.ResumableEventStream(12)
+    delivered = events.DeliveredEvents(12)
+    stream = events.EventReader(delivered, is_continuation=False)
     assert _feed(stream, _make_events(13, 13)[0]) == _make_events(13, 13)
-    assert stream.last_event_id == 13
+    assert delivered.last_id == 13
