Keep what belongs to one attempt with the attempt

Cause: the request object held the caller's side, the state of the present attempt and the decisions at once.

Change: CallerResponse knows what the caller has of its response; AttemptStream passes on one attempt's stream, with its buffer, its gaps and its watch for stalls; an attempt has its record and its timer for silence, and ends them all in one place. The request keeps the decisions. Behaviour is the same.

Conclusion: nothing of an attempt is left in the request but the record of how it ended and, while it may still be the final response, a target's own error.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -3,14 +3,17 @@
 import typing
 
 from bambooring.balancing import state as balancing
+from bambooring.forwarding import access_log
 from bambooring.forwarding import const
-from bambooring.forwarding import events as events_module
 from bambooring.forwarding import messages
 from bambooring_core.http1 import client
 from bambooring_core.http1 import errors as http1_errors
 from bambooring_core.http1 import messages as http1
 from bambooring_core import reactor as reactor_module
 
+if typing.TYPE_CHECKING:
+    from bambooring.forwarding import attempt_stream
+
 
 class AttemptListener(typing.Protocol):
     """Receive the progress and the result of an attempt.
@@ -46,6 +49,9 @@
         :param failure: why, as a label for logs and metrics
         """
 
+    def handle_silence(self, attempt: 'Attempt') -> None:
+        """Handle that the target has sent no response head for long."""
+
 
 class Attempt:
     """One attempt to have a target run a request.
@@ -53,6 +59,9 @@
     It reports to its listener once how it ended. A response is buffered until
     it is complete; streams and responses above a size limit are forwarded
     part by part.
+
+    All that belongs to one attempt is kept here and ends with it: what the
+    target has sent, the stream, the timers and the line in the log.
     """
 
     def __init__(
@@ -63,23 +72,24 @@
         make_call: client.CallFactory,
         request: messages.CallerRequest,
         choice: balancing.Choice,
-        events: events_module.EventReader,
     ) -> None:
         self._listener = listener
+        self._reactor = reactor
         self._request = request
-        self.choice = choice
         self.target = choice.target
+        self.record = access_log.AttemptRecord.make(choice)
         self.began_s = reactor.now()
-        self.last_event_at_s: float | None = None
         # Whether the target has begun to answer: of a stream, its first event.
         self.has_begun = False
         self.response: messages.TargetResponse | None = None
         self.buffered_body = bytearray()
-        self.events = events
+        # What passes the response on, if it is a stream of events.
+        self.stream: attempt_stream.AttemptStream | None = None
         # The tokens of the prompt until the target has read them.
         self.unread_tokens = request.prompt_tokens
         self.is_over = False
         self.is_forwarding = False
+        self._silence_timer: reactor_module.Timer | None = None
         self.call = make_call(
             reactor=reactor,
             address=choice.target.address,
@@ -103,11 +113,19 @@
             and self.response.is_stream
         )
 
-    def send(self, headers: http1.Headers) -> None:
+    def send(
+        self, headers: http1.Headers, silence_timeout_s: float | None = None
+    ) -> None:
         """Send the request to the target.
 
         :param headers: the headers for the target
+        :param silence_timeout_s: after how long without a response head the
+            listener is told, in seconds; None for never
         """
+        if silence_timeout_s is not None:
+            self._silence_timer = self._reactor.call_later(
+                silence_timeout_s, self._report_silence
+            )
         self.call.send(
             self._request.method,
             self._request.request_target,
@@ -115,11 +133,30 @@
             self._request.body,
         )
 
+    def _report_silence(self) -> None:
+        if not self.is_over and self.response is None:
+            self._listener.handle_silence(self)
+
     def abort(self) -> None:
         """Close the connection, so that the target stops its work."""
         self.is_over = True
         self.call.abort()
 
+    def close(self, outcome: str) -> None:
+        """End all that belongs to the attempt, and complete its record.
+
+        :param outcome: how it ended, as a label for logs
+        """
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+        if self.stream is not None:
+            self.stream.close()
+            self.record.events = self.stream.counts.format()
+        self.record.outcome = outcome
+        elapsed_s = self._reactor.now() - self.began_s
+        self.record.duration_ms = round(elapsed_s * 1000)
+        self.record.has_begun = self.has_begun
+
     def handle_response_head(self, head: http1.ResponseHead) -> None:
         """Validate a response's head and decide how to handle its body."""
         if self.is_over:
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -6,19 +6,18 @@
 from bambooring.crashes import state as crashes
 from bambooring.forwarding import access_log
 from bambooring.forwarding import attempt as attempt_module
+from bambooring.forwarding import attempt_stream
+from bambooring.forwarding import caller_response
 from bambooring.forwarding import const
 from bambooring.forwarding import decisions
 from bambooring.forwarding import errors
-from bambooring.forwarding import events
 from bambooring.forwarding import forwarder as forwarder_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import rejections
-from bambooring.forwarding import stalls
 from bambooring.forwarding import suspicions
 from bambooring import metrics
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server
-from bambooring_core import reactor as reactor_module
 
 LOG = structlog.get_logger(__name__)
 
@@ -67,16 +66,16 @@
         self.queue_deadline_s = self.deadline_s
         self._policy_version = policy_version
         self._lease_age_s = lease_age_s
+        self._caller = caller_response.CallerResponse(
+            exchange=exchange,
+            progress=self.progress,
+            reactor=forwarder.reactor,
+            last_event_id=request.last_event_id,
+        )
         self._attempt_records: list[access_log.AttemptRecord] = []
         self._attempt: attempt_module.Attempt | None = None
         # Its error response is forwarded if no retry succeeds.
         self._failed_attempt: attempt_module.Attempt | None = None
-        self._delivered_events = events.DeliveredEvents(request.last_event_id)
-        # Whether the caller has events of a stream, which others may continue.
-        self._has_sent_events = False
-        self._first_byte_s: float | None = None
-        self._silence_timer: reactor_module.Timer | None = None
-        self._stall_watch: stalls.StallWatch | None = None
         self._is_over = False
         self._deadline_timer = forwarder.reactor.call_later(
             self.deadline_s - forwarder.reactor.now(), self._expire
@@ -125,17 +124,24 @@
 
     def send_to_target(self, choice: balancing.Choice) -> None:
         """Start an attempt at a target that the balancer has chosen."""
-        self._attempt_records.append(access_log.AttemptRecord.make(choice))
         self.progress.attempt_count += 1
         self.tried_targets.add(choice.target.id)
         self.suspicion.begin_attempt()
         self._attempt = self._forwarder.start_attempt(self, choice)
-        if self.route.is_retryable and not self._is_stream():
-            self._silence_timer = self._forwarder.reactor.call_later(
-                self.route.first_byte_objective_s
-                * const.SILENCE_TIMEOUT_OBJECTIVES,
-                self._retry_after_silence,
-            )
+        self._attempt_records.append(self._attempt.record)
+
+    @property
+    def silence_timeout_s(self) -> float | None:
+        """Return how long an attempt may be silent before it is repeated.
+
+        None if it isn't repeated for that reason.
+        """
+        if self._is_stream() or not self.route.is_retryable:
+            return None
+        return (
+            self.route.first_byte_objective_s
+            * const.SILENCE_TIMEOUT_OBJECTIVES
+        )
 
     def _is_stream(self) -> bool:
         return self.route.kind == 'stream'
@@ -148,14 +154,7 @@
             target_id=target_id,
             account=self.account.name if self.account else '',
             time_left_s=self.get_time_left_s(),
-            last_event_id=self._delivered_events.last_id,
-        )
-
-    def make_event_reader(self) -> events.EventReader:
-        """Return a reader for the events of an attempt that begins."""
-        return events.EventReader(
-            self._delivered_events,
-            is_continuation=self.progress.is_response_started,
+            last_event_id=self._caller.delivered_events.last_id,
         )
 
     def read_response_head(
@@ -169,112 +168,71 @@
 
         The head of a stream is sent with its first complete event.
         """
-        self._cancel_silence_timers()
         self._forwarder.balancer.record_response_started(self.service)
-        if self._has_events(attempt):
+        assert attempt.response is not None
+        if self._is_stream() and attempt.is_event_stream:
+            attempt.stream = self._make_stream(attempt)
             return
-        if self.progress.is_response_started:
+        if self._caller.is_started:
             # The caller has a part of a stream, and this is none.
             attempt.abort()
             self.handle_failure(attempt, 'no_stream')
             return
-        self._start_response(attempt)
-
-    def _has_events(self, attempt: attempt_module.Attempt) -> bool:
-        """Return whether an attempt's body is passed on event by event."""
-        return self._is_stream() and attempt.is_event_stream
+        self._caller.start(attempt.response)
 
-    def _start_response(self, attempt: attempt_module.Attempt) -> None:
-        """Send the head of the response to the caller."""
-        response = attempt.response
-        assert response is not None
-        self.progress.is_response_started = True
-        self._first_byte_s = self._forwarder.reactor.now()
-        self._exchange.start(response.status, response.headers)
+    def _make_stream(
+        self, attempt: attempt_module.Attempt
+    ) -> attempt_stream.AttemptStream:
+        return attempt_stream.AttemptStream(
+            attempt=attempt,
+            forwarder=self._forwarder,
+            caller=self._caller,
+            route=self.route,
+            service=self.service,
+            handle_first_event=lambda: self._record_answer(attempt),
+            handle_stall=self._resume_elsewhere,
+        )
 
     def forward_data(
         self, attempt: attempt_module.Attempt, data: bytes
     ) -> None:
         """Forward a part of the body; of a stream, its complete events."""
-        if self._has_events(attempt):
-            self._forward_events(attempt, data)
+        if attempt.stream is None:
+            self._caller.write(data)
         else:
-            self._exchange.write(data)
-        if self._exchange.is_congested and not attempt.is_over:
+            self._forward_events(attempt, attempt.stream, data)
+        if self._caller.is_congested and not attempt.is_over:
             attempt.call.pause()
 
     def _forward_events(
-        self, attempt: attempt_module.Attempt, data: bytes
+        self,
+        attempt: attempt_module.Attempt,
+        stream: attempt_stream.AttemptStream,
+        data: bytes,
     ) -> None:
-        complete_events: list[bytes] = []
-        failure: errors.StreamGapError | None = None
         try:
-            complete_events.extend(attempt.events.feed(data))
+            stream.forward(data)
         except errors.StreamGapError as error:
-            failure = error
-        if complete_events:
-            self._send_events(attempt, b''.join(complete_events))
-        if failure is not None and not attempt.is_over:
+            if attempt.is_over:
+                return
             LOG.warning(
                 'event stream aborted',
                 request=self.request.attempt_id,
                 target=attempt.target.id,
-                error=str(failure),
+                error=str(error),
             )
             attempt.abort()
             self.handle_failure(attempt, 'stream_gap')
 
-    def _send_events(
-        self, attempt: attempt_module.Attempt, complete_events: bytes
-    ) -> None:
-        now_s = self._forwarder.reactor.now()
-        self._forwarder.record_prompt_read(attempt)
-        if not self.progress.is_response_started:
-            self._start_response(attempt)
-        if attempt.last_event_at_s is not None:
-            self._forwarder.balancer.record_event_gap(
-                self.service,
-                now_s - attempt.last_event_at_s,
-                self.route.max_event_gap_s,
-            )
-        attempt.last_event_at_s = now_s
-        self._record_answer(attempt)
-        self._has_sent_events = True
-        self._forwarder.event_log.record(
-            self.service, attempt.target.id, now_s
-        )
-        self._watch_for_stall(attempt, now_s)
-        if not self._is_over:
-            self._exchange.write(complete_events)
-
     def _record_answer(self, attempt: attempt_module.Attempt) -> None:
         if not attempt.has_begun:
             attempt.has_begun = True
             self.suspicion.record_answer()
 
-    def _watch_for_stall(
-        self, attempt: attempt_module.Attempt, now_s: float
-    ) -> None:
-        """Note an event of a stream that could go on at another target."""
-        if self._stall_watch is not None:
-            self._stall_watch.record_event(now_s)
-        elif self.route.is_retryable and not self._is_over:
-            self._stall_watch = stalls.StallWatch(
-                reactor=self._forwarder.reactor,
-                limit_s=decisions.get_stream_idle_s(self.route)
-                * const.STREAM_STALL_SHARE,
-                has_progress_since=lambda since_s: (
-                    self._forwarder.event_log.has_event_elsewhere(
-                        self.service, attempt.target.id, since_s
-                    )
-                ),
-                handle_stall=self._resume_elsewhere,
-            )
-
     def _resume_elsewhere(self) -> None:
         """Continue a stalled stream at another target, if one is free."""
         attempt = self._attempt
-        if attempt is None or self._exchange.is_congested:
+        if attempt is None or self._caller.is_congested:
             return
         if not self._forwarder.may_dispatch(self):
             return
@@ -301,12 +259,12 @@
                 self._forwarder.eject_target(attempt.target.id, 'server_error')
             self._forwarder.dispatch_or_queue(self)
             return
-        if attempt.is_forwarding and attempt.events.has_partial_event:
+        if attempt.stream is not None and attempt.stream.has_partial_event:
             # Whatever its framing says, the stream has been broken off.
             self.handle_failure(attempt, 'closed_early')
             return
         self._close_attempt(attempt, f'status_{response.status}')
-        if self.progress.is_response_started and not attempt.is_forwarding:
+        if self._caller.is_started and not attempt.is_forwarding:
             # Instead of the rest of a stream the target sent something else.
             self.give_up(const.Reason.TARGET_FAILED)
             return
@@ -338,14 +296,9 @@
         response: messages.TargetResponse,
     ) -> None:
         if attempt.is_forwarding:
-            if not self.progress.is_response_started:
-                self._start_response(attempt)
-            self._exchange.end()
+            self._caller.end(response)
         else:
-            self._first_byte_s = self._forwarder.reactor.now()
-            self._exchange.respond(
-                response.status, response.headers, bytes(attempt.buffered_body)
-            )
+            self._caller.respond(response, bytes(attempt.buffered_body))
 
     def handle_refusal(self, attempt: attempt_module.Attempt) -> None:
         """Retry a request that the target provably does not run."""
@@ -392,7 +345,7 @@
     def _retry_or_give_up(self, reason: const.Reason) -> None:
         if self._is_over:
             return
-        if self.progress.is_response_started and not self._has_sent_events:
+        if self._caller.is_started and not self._caller.has_events:
             self.give_up(reason)
         elif self.suspicion.judge().is_forbidden:
             self.give_up(const.Reason.SUSPECT)
@@ -417,32 +370,14 @@
     def _close_attempt(
         self, attempt: attempt_module.Attempt, outcome: str
     ) -> None:
-        self._cancel_silence_timers()
         self._attempt = None
-        record = self._attempt_records[-1]
-        record.outcome = outcome
-        elapsed_s = self._forwarder.reactor.now() - attempt.began_s
-        record.duration_ms = round(elapsed_s * 1000)
-        record.has_begun = attempt.has_begun
-        record.events = attempt.events.counts.format()
+        attempt.close(outcome)
         if not suspicions.may_be_crash(outcome):
             self.suspicion.end_attempt()
         self._forwarder.release_attempt(attempt)
 
-    def _cancel_silence_timers(self) -> None:
-        if self._stall_watch is not None:
-            self._stall_watch.cancel()
-            self._stall_watch = None
-        if self._silence_timer is not None:
-            self._silence_timer.cancel()
-            self._silence_timer = None
-
-    def _retry_after_silence(self) -> None:
+    def handle_silence(self, attempt: attempt_module.Attempt) -> None:
         """Retry a request whose target has sent no response head for long."""
-        self._silence_timer = None
-        attempt = self._attempt
-        if attempt is None or attempt.response is not None:
-            return
         if not self._claim_retry('silent'):
             return
         attempt.abort()
@@ -495,8 +430,8 @@
         """
         if self._is_over:
             return
-        if self.progress.is_response_started:
-            self._exchange.abort()
+        if self._caller.is_started:
+            self._caller.abort()
             metrics.REFUSALS.labels(
                 reason=reason.value, outcome='broken'
             ).inc()
@@ -527,7 +462,6 @@
             return
         self._is_over = True
         self._deadline_timer.cancel()
-        self._cancel_silence_timers()
         self._forwarder.remove_from_queue(self)
         self._forwarder.remove_request(self)
         if outcome != const.Reason.CALLER_LEFT:
@@ -550,7 +484,7 @@
                 may_have_run=self.progress.may_have_run,
                 attempts=self._attempt_records,
                 received_s=self.received_s,
-                first_byte_s=self._first_byte_s,
+                first_byte_s=self._caller.first_byte_s,
                 ended_s=self._forwarder.reactor.now(),
                 deadline_s=self.deadline_s,
             )
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -301,7 +301,6 @@
             make_call=self._make_call,
             request=pending.request,
             choice=choice,
-            events=pending.make_event_reader(),
         )
         headers = self._dialect.write_attempt_headers(
             pending.request, pending.make_attempt_metadata(choice.target.id)
@@ -318,7 +317,7 @@
             parts=pending.request.prompt_parts[: const.MAX_LOGGED_PARTS],
             report_age_ms=round(choice.oldest_report_age_s * 1000),
         )
-        attempt.send(headers)
+        attempt.send(headers, pending.silence_timeout_s)
         return attempt
 
     def read_response_head(
