End a trial with its attempt, however that ends

What callers saw: 503 for up to five seconds for every request with a suspect part, while none of them was being tried.

Cause: whether a request is on trial was kept by the request. A trial whose connection broke was ended only after the check of its target; if that check was not made, because the target was leaving or had begun to answer, it stayed open until its time-out.

Change: the attempt holds its trial and ends it; only while its target is being checked it lasts longer.

Before: the new test got 503 in place of 200. After: the forwarding tests pass.

Conclusion: the kept list of trials can't run ahead of the attempts any more.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -6,6 +6,7 @@
 from bambooring.forwarding import access_log
 from bambooring.forwarding import const
 from bambooring.forwarding import messages
+from bambooring.forwarding import suspicions
 from bambooring_core.http1 import client
 from bambooring_core.http1 import errors as http1_errors
 from bambooring_core.http1 import messages as http1
@@ -89,6 +90,8 @@
         self.unread_tokens = request.prompt_tokens
         self.is_over = False
         self.is_forwarding = False
+        # Set if the request is suspect of crashing targets.
+        self.trial: suspicions.AttemptTrial | None = None
         self._silence_timer: reactor_module.Timer | None = None
         self.call = make_call(
             reactor=reactor,
@@ -142,6 +145,11 @@
         self.is_over = True
         self.call.abort()
 
+    def end_trial(self) -> None:
+        """Let others be tried, if the attempt was on trial."""
+        if self.trial is not None:
+            self.trial.end()
+
     def close(self, outcome: str) -> None:
         """End all that belongs to the attempt, and complete its record.
 
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -126,8 +126,9 @@
         """Start an attempt at a target that the balancer has chosen."""
         self.progress.attempt_count += 1
         self.tried_targets.add(choice.target.id)
-        self.suspicion.begin_attempt()
+        trial = self.suspicion.begin_attempt()
         self._attempt = self._forwarder.start_attempt(self, choice)
+        self._attempt.trial = trial
         self._attempt_records.append(self._attempt.record)
 
     @property
@@ -321,23 +322,35 @@
         self, attempt: attempt_module.Attempt, failure: str
     ) -> None:
         """Retry a request whose attempt failed, if that is allowed."""
-        self._close_attempt(attempt, failure)
+        may_be_crash = self._may_be_crash(attempt, failure)
+        self._close_attempt(attempt, failure, may_be_crash=may_be_crash)
         if attempt.may_have_run:
             self.progress.may_have_run = True
         else:
             self.progress.refused_count += 1
         self._forwarder.eject_target(attempt.target.id, failure)
-        # A target that is leaving ends without having crashed.
-        if (
+        if not may_be_crash:
+            self._retry_after_failure()
+            return
+
+        def handle_result() -> None:
+            attempt.end_trial()
+            self._retry_after_failure()
+
+        self.suspicion.check_target(attempt.target, handle_result)
+
+    def _may_be_crash(
+        self, attempt: attempt_module.Attempt, failure: str
+    ) -> bool:
+        """Return whether the target may have crashed before it answered.
+
+        A target that is leaving ends without having crashed.
+        """
+        return (
             suspicions.may_be_crash(failure)
             and not attempt.has_begun
             and self._forwarder.balancer.has_target(attempt.target)
-        ):
-            self.suspicion.check_target(
-                attempt.target, self._retry_after_failure
-            )
-            return
-        self._retry_after_failure()
+        )
 
     def _retry_after_failure(self) -> None:
         self._retry_or_give_up(const.Reason.TARGET_FAILED)
@@ -368,12 +381,23 @@
         return self._forwarder.spend_retry(reason)
 
     def _close_attempt(
-        self, attempt: attempt_module.Attempt, outcome: str
+        self,
+        attempt: attempt_module.Attempt,
+        outcome: str,
+        *,
+        may_be_crash: bool = False,
     ) -> None:
+        """End an attempt.
+
+        :param attempt: the attempt
+        :param outcome: how it ended, as a label for logs
+        :param may_be_crash: whether it stays on trial until it is known if
+            its target crashed
+        """
         self._attempt = None
         attempt.close(outcome)
-        if not suspicions.may_be_crash(outcome):
-            self.suspicion.end_attempt()
+        if not may_be_crash:
+            attempt.end_trial()
         self._forwarder.release_attempt(attempt)
 
     def handle_silence(self, attempt: attempt_module.Attempt) -> None:
--- a/packages/bambooring/src/bambooring/forwarding/suspicions.py
+++ b/packages/bambooring/src/bambooring/forwarding/suspicions.py
@@ -19,6 +19,27 @@
 )
 
 
+class AttemptTrial:
+    """The trial that one attempt is, if its request is suspect."""
+
+    __slots__ = ('_guard', '_key')
+
+    def __init__(self, guard: crashes_task.CrashGuard, key: int) -> None:
+        """Create a trial.
+
+        :param guard: what judges requests
+        :param key: the suspect, 0 if the request is clear
+        """
+        self._guard = guard
+        self._key = key
+
+    def end(self) -> None:
+        """Record that the attempt has ended, so that others may be tried."""
+        if self._key:
+            self._guard.end_trial(self._key)
+            self._key = 0
+
+
 class RequestSuspicion:
     """Whether one request may crash targets, as this instance knows it."""
 
@@ -31,7 +52,6 @@
         self._guard = guard
         self._request = request
         self._account = account
-        self._trial_key = 0
 
     @functools.cached_property
     def _causes(self) -> causes_module.Causes:
@@ -47,23 +67,18 @@
         """Decide whether the request may be sent to a target."""
         return self._guard.judge(self._causes)
 
-    def begin_attempt(self) -> None:
+    def begin_attempt(self) -> AttemptTrial:
         """Record that the request is sent, on trial if it is suspect."""
         verdict = self.judge()
-        if verdict.decision is crashes.Decision.TRIAL:
-            self._trial_key = verdict.key
-            self._guard.begin_trial(verdict, self._request.attempt_id)
+        if verdict.decision is not crashes.Decision.TRIAL:
+            return AttemptTrial(self._guard, 0)
+        self._guard.begin_trial(verdict, self._request.attempt_id)
+        return AttemptTrial(self._guard, verdict.key)
 
     def record_answer(self) -> None:
         """Record that a target began to answer."""
         self._guard.record_answer(self._causes)
 
-    def end_attempt(self) -> None:
-        """Record that the attempt has ended, so that others may be tried."""
-        if self._trial_key:
-            self._guard.end_trial(self._trial_key)
-            self._trial_key = 0
-
     def check_target(
         self,
         target: targets.Target,
@@ -74,13 +89,8 @@
         :param target: the target
         :param callback: is called with the result known
         """
-
-        def end() -> None:
-            self.end_attempt()
-            callback()
-
         self._guard.check_target(
-            target, self._causes, self._request.attempt_id, end
+            target, self._causes, self._request.attempt_id, callback
         )
 
 
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
@@ -76,3 +76,32 @@
     assert harness.run_count == 2
     status, runs, _ = _ask(harness, b'/read/1', body=b'sound')
     assert (status, runs) == (b'200', 1)
+
+
+def _hold(target, exchange):
+    """Run a request without an answer until the test drops it."""
+    target.record_run(exchange)
+    target.held_exchange = exchange
+
+
+# Sound callers were refused for seconds after a trial whose target left.
+def test_trial_ends_with_its_attempt(make_harness):
+    """Also if the target ends because it is leaving, which is no crash."""
+    harness = make_harness(1, harness_module.crash_on_deadly_part)
+    _ask(harness, b'/talk/1', parts=SOUND)
+    _ask(harness, b'/talk/1', parts=DEADLY)
+    harness_module.advance(harness, 2.1)
+    (target,) = harness.targets
+    target.script = _hold
+    harness.restart_targets()
+    sock = harness.send_request(b'/talk/1', parts=DEADLY, time_left=b'1')
+    harness.turn_until(lambda: harness.run_count == 3)
+    harness.balancer.set_targets([])
+    target.held_exchange.abort()
+    harness_module.advance(harness, 1.0)
+    data, _ = harness.read_response(sock)
+    assert data.startswith(b'HTTP/1.1 502')
+    target.script = harness_module.send_stream
+    harness.restart_targets()
+    status, runs, _ = _ask(harness, b'/talk/1', parts=b'system deadly new')
+    assert (status, runs) == (b'200', 1)
