Pass on nothing but the next events of a stream

An id of thousands of digits ended the process.

Cause: an event was whatever ends with a blank line, and on a first attempt any id was accepted. A head ends with a blank line too.

Change: a block that isn't made of fields in lower case with one id of up to 18 digits, or whose id isn't higher than the one before, ends the attempt as a failed one. The caller keeps what came before it, and the stream goes on at another target after the last id, or is broken off. Ids may skip in a first response, as the protocol only has them increase; a continuation must follow without a gap, as before. Comments are passed on.

After: the forwarding tests pass.

Conclusion: a reader accepts what it knows instead of passing on what it doesn't.

--- a/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
@@ -71,7 +71,7 @@
         """Pass on the events that a part of the body completes.
 
         :param data: the part of the body
-        :raises StreamGapError: if what follows them can't be passed on
+        :raises EventStreamError: if what follows them can't be passed on
         """
         complete_events: list[bytes] = []
         try:
--- a/packages/bambooring/src/bambooring/forwarding/errors.py
+++ b/packages/bambooring/src/bambooring/forwarding/errors.py
@@ -7,9 +7,9 @@
     """A caller's request cannot be decoded; the message says why."""
 
 
-class StreamGapError(errors.ServerError):
-    """An event stream cannot be continued without losing an event.
+class EventStreamError(errors.ServerError):
+    """A response can't be passed on as a part of the caller's event stream.
 
-    Raised if a resumed response skips an event, or if an event is too large
-    to be buffered.
+    Raised if its ids don't increase, if it skips an event of a stream that it
+    continues, and if an event has no id or is too large to be buffered.
     """
--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -2,10 +2,17 @@
 
 import collections.abc
 import dataclasses
+import re
 
 from bambooring.forwarding import const
 from bambooring.forwarding import errors
 
+# A complete event: lines of fields, of which one is its id. The names of
+# fields are in lower case, unlike those of a response's head.
+_OTHER_FIELDS = rb'(?:(?!id[:\r\n])[a-z-]*(?::[^\r\n]*)?\r?\n)*'
+_ID_FIELD = rb'id:[ ]*([0-9]{1,18})[ ]*\r?\n'
+_EVENT = re.compile(_OTHER_FIELDS + _ID_FIELD + _OTHER_FIELDS)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class EventCounts:
@@ -99,40 +106,53 @@
 
         :param data: the part of the body
         :returns: the events that the caller doesn't have yet
-        :raises StreamGapError: if a resumed response skips an event, or if an
-            event is too large
+        :raises EventStreamError: if what follows them isn't a part of the
+            caller's stream
         """
         self._buffer += data
         while True:
             end = _find_event_end(self._buffer)
             if (end or len(self._buffer)) > const.MAX_EVENT_BYTES:
-                raise errors.StreamGapError('event exceeds the size limit')
+                raise errors.EventStreamError('event exceeds the size limit')
             if not end:
                 return
             event = bytes(self._buffer[:end])
             del self._buffer[:end]
             event_id = _read_event_id(event)
+            if event_id is None and _is_comment(event):
+                yield event
+                continue
+            last_id = self._counts.last_id
             self._counts.add(event_id)
-            if self._accept_event_id(event_id):
+            if self._accept_event(event_id, last_id):
                 yield event
 
-    def _accept_event_id(self, event_id: int | None) -> bool:
-        """Return whether an event is new, and store its id.
+    def _accept_event(
+        self, event_id: int | None, last_id_here: int | None
+    ) -> bool:
+        """Return whether an event is new to the caller, and store its id.
 
         In a continuation, events that the caller already has are dropped up
-        to the first new one, which must follow without a gap.
+        to the first new one, which must follow without a gap. An id that runs
+        back, or none, means that what follows is another answer.
 
-        :raises StreamGapError: if an event is skipped
+        :param event_id: the event's id
+        :param last_id_here: the id of the response's event before it
+        :raises EventStreamError: if it isn't the next event
         """
         if event_id is None:
-            return True
+            raise errors.EventStreamError('not an event with an id')
+        if last_id_here is not None and event_id <= last_id_here:
+            raise errors.EventStreamError(
+                f'event {event_id} follows event {last_id_here}'
+            )
         last_id = self._delivered.last_id
         if self._must_be_contiguous and last_id is not None:
             if event_id <= last_id:
                 return False
             if event_id > last_id + 1:
-                raise errors.StreamGapError(
-                    f'event {event_id} follows event {last_id}'
+                raise errors.EventStreamError(
+                    f'event {event_id} continues event {last_id}'
                 )
         self._must_be_contiguous = False
         self._delivered.last_id = event_id
@@ -149,10 +169,15 @@
     return min(ends, default=0)
 
 
+def _is_comment(event: bytes) -> bool:
+    """Return whether it is a comment only, which keeps a connection open."""
+    return all(line.startswith(b':') for line in event.splitlines() if line)
+
+
 def _read_event_id(event: bytes) -> int | None:
-    for line in event.splitlines():
-        name, _, value = line.partition(b':')
-        if name == b'id':
-            value = value.strip()
-            return int(value) if value.isdigit() else None
-    return None
+    """Return the event's id.
+
+    :returns: None if it has no id, more than one, or a line that is no field
+    """
+    match = _EVENT.fullmatch(event)
+    return int(match[1]) if match else None
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -213,7 +213,7 @@
     ) -> None:
         try:
             stream.forward(data)
-        except errors.StreamGapError as error:
+        except errors.EventStreamError as error:
             if attempt.is_over:
                 return
             LOG.warning(
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -251,6 +251,24 @@
         assert _join_chunks(body) == b''.join(EVENTS)
 
 
+# Callers found the head and the events of a second answer in their stream.
+@pytest.mark.parametrize('has_same_content', [True, False])
+def test_second_answer_behind_a_stream_is_dropped(
+    make_harness, has_same_content
+):
+    """Without a length, the second answer is behind the first one's events."""
+    whole = _frame(EVENTS, 'none', b'Stream: 1')
+    second = whole
+    if not has_same_content:
+        second = whole.replace(b'data: x', b'data: y')
+    rest = RawTarget(_frame([], 'length', b'Stream: 1'))
+    harness = make_harness(RawTarget(whole + second), rest)
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', True)
+    assert _join_chunks(body) == b''.join(EVENTS)
+    assert b'Last: 3' in rest.requests[0]
+
+
 # Callers found the text of an error in the middle of their stream, or the
 # stream ended as if it were complete.
 @pytest.mark.parametrize('status', [200, 400, 404, 500, 503])
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_events.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_events.py
@@ -66,7 +66,7 @@
     stream = events.EventReader(delivered, is_continuation=False)
     _feed(stream, b''.join(_make_events(1, 3)))
     stream = _continue_stream(delivered)
-    with pytest.raises(errors.StreamGapError):
+    with pytest.raises(errors.EventStreamError):
         _feed(stream, _make_events(5, 5)[0])
 
 
@@ -76,3 +76,47 @@
     stream = events.EventReader(delivered, is_continuation=False)
     assert _feed(stream, _make_events(13, 13)[0]) == _make_events(13, 13)
     assert delivered.last_id == 13
+
+
+# Callers found a second answer, or events once more, in a stream that had not
+# been interrupted.
+@pytest.mark.parametrize(
+    'surplus',
+    [
+        b'id: 3\ndata: 21\n\n',
+        b'id: 2\ndata: 14\n\n',
+        b'id: 1\ndata: 7\n\n',
+        b'HTTP/1.1 200 OK\r\nId: 7\r\n\r\n',
+        b'HTTP/1.1 200 OK\nid: 4\nid: 5\n\n',
+        b'data: 28\n\n',
+        b'id: x\ndata: 28\n\n',
+        b'id: -4\ndata: 28\n\n',
+        b'id: 4\ndaid: 4\nid: 4\ndata: 28\n\n',
+        b'id: 4\ndaHTTP/1.1 200 OK\r\nId: 7\r\n\r\n',
+        b'id: 4\ndata: HTTP/1.1 200 OK\r\nId: 7\r\n\r\n',
+        b'id\n\n',
+        b'id: %b\ndata: 28\n\n' % (b'9' * 5000),
+    ],
+)
+@pytest.mark.parametrize('last_id', [None, 0, 2])
+def test_what_follows_a_stream_is_no_part_of_it(surplus, last_id):
+    """Events before it are passed on, what comes with or after it is not."""
+    delivered = events.DeliveredEvents(last_id)
+    stream = events.EventReader(delivered, is_continuation=last_id is not None)
+    all_events = _make_events(1, 3)
+    received: list[bytes] = []
+    with pytest.raises(errors.EventStreamError):
+        received.extend(
+            stream.feed(b''.join(all_events) + surplus + b'id: 4\n\n')
+        )
+    assert received == all_events[last_id or 0 :]
+    assert delivered.last_id == 3
+
+
+def test_ids_may_skip_and_comments_may_come():
+    """Ids have to increase, not to be consecutive, in the first response."""
+    stream = events.EventReader(
+        events.DeliveredEvents(None), is_continuation=False
+    )
+    data = b': wait\n\nid: 2\ndata: x\n\n: wait\n\nid: 7\ndata: x\n\n'
+    assert b''.join(_feed(stream, data)) == data
