Continue a caller's own resumed stream as strictly as one of ours

Cause: only a response that continues one of our own attempts was held to the next id. What the caller already had was known, but not used for the first attempt.

Change: a reader continues whatever the caller has, from whomever.

Conclusion: one rule for both kinds of continuation, and one flag less.

--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -74,20 +74,17 @@
     at the caller that the next response would have to complete.
     """
 
-    __slots__ = ('_buffer', '_counts', '_delivered', '_must_be_contiguous')
+    __slots__ = ('_buffer', '_counts', '_delivered', '_is_continuation')
 
-    def __init__(
-        self, delivered: DeliveredEvents, *, is_continuation: bool
-    ) -> None:
+    def __init__(self, delivered: DeliveredEvents) -> None:
         """Create a reader.
 
         :param delivered: the events that the caller has, which is updated
-        :param is_continuation: whether they come from an earlier response
         """
         self._buffer = bytearray()
         self._counts = EventCounts()
         self._delivered = delivered
-        self._must_be_contiguous = is_continuation
+        self._is_continuation = delivered.last_id is not None
 
     @property
     def has_partial_event(self) -> bool:
@@ -147,14 +144,14 @@
                 f'event {event_id} follows event {last_id_here}'
             )
         last_id = self._delivered.last_id
-        if self._must_be_contiguous and last_id is not None:
+        if self._is_continuation and last_id is not None:
             if event_id <= last_id:
                 return False
             if event_id > last_id + 1:
                 raise errors.EventStreamError(
                     f'event {event_id} continues event {last_id}'
                 )
-        self._must_be_contiguous = False
+        self._is_continuation = False
         self._delivered.last_id = event_id
         return True
 
