Don't pass on a second answer behind one without a length

Cause: a body without a length goes on until its connection ends, so whatever a target sends twice is a part of it.

Ruled out: cutting the body before the second head. A target that broke off its first answer looks the same, so the first one isn't known to be whole.

Change: a body without a length that holds the head of an answer to the same request, as the parser and the dialect read it, is a failed attempt. What may be repeated goes to another target; else the caller gets 502. A body may quote other heads. Bodies over 128 KiB are forwarded in parts and not searched.

Before: the new test failed in all nine cases. After: the forwarding and core tests pass.

Conclusion: with length or chunks a second answer was already left unread; without them it is now noticed, but for large bodies.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -6,6 +6,7 @@
 from bambooring.forwarding import access_log
 from bambooring.forwarding import const
 from bambooring.forwarding import messages
+from bambooring.forwarding import second_answers
 from bambooring.forwarding import suspicions
 from bambooring_core.http1 import client
 from bambooring_core.http1 import errors as http1_errors
@@ -214,9 +215,19 @@
         """Report that the response is complete."""
         if self.is_over:
             return
+        if self._has_second_answer():
+            self._fail('second_answer')
+            return
         self.is_over = True
         self._listener.handle_completion(self)
 
+    def _has_second_answer(self) -> bool:
+        return not self.has_length and second_answers.has_second_answer(
+            bytes(self.buffered_body),
+            self._request.attempt_id,
+            self._listener.read_response_head,
+        )
+
     def handle_call_failure(self, failure: http1_errors.Failure) -> None:
         """Report that no complete response will come."""
         self._fail(failure.value)
