Let a response that is finished send nothing more

What callers would have seen: a part of an earlier response, or its reset, in the answer to their next request on a kept connection.

Cause: an exchange knew that it was done, but still passed writes on to its connection, which may serve the next request by then. No path here is known to do so: the request that owns an exchange checks that it isn't over.

Change: an exchange that is done ignores whatever it is told.

Before: the new test failed, since the second response's state was broken by the first one's writes. After: core, forwarding and platform tests pass.

Conclusion: suspected by reading, closed at the owner.

--- a/packages/core/src/bambooring_core/http1/server.py
+++ b/packages/core/src/bambooring_core/http1/server.py
@@ -60,15 +60,20 @@
         :param status: the HTTP status
         :param headers: the headers; without a length the body is chunked
         """
+        if self.is_done:
+            return
         self.is_started = True
         self._connection.send_head(status, headers)
 
     def write(self, data: bytes) -> None:
         """Send a part of the response body."""
-        self._connection.send_data(data)
+        if not self.is_done:
+            self._connection.send_data(data)
 
     def end(self) -> None:
         """Complete the response."""
+        if self.is_done:
+            return
         self.is_done = True
         self._connection.end_response()
 
@@ -84,6 +89,8 @@
 
     def abort(self) -> None:
         """Reset the connection, so that the caller sees a failed response."""
+        if self.is_done:
+            return
         self.is_done = True
         self._connection.abort()
 
--- a/packages/core/src/bambooring_core/http1/tests/test_connections.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_connections.py
@@ -195,6 +195,38 @@
         sock.close()
 
 
+# A late write to a finished response would reach the caller's next request on
+# the same connection.
+@pytest.mark.parametrize(
+    'finish',
+    [lambda exchange: exchange.end(), lambda exchange: exchange.abort()],
+)
+def test_finished_response_sends_nothing_more(finish):
+    """Neither data nor an end, nor a reset of the connection."""
+    handler = RecordingHandler(_never_respond)
+    with _serve(handler) as (reactor, server):
+        sock = _connect(server)
+        sock.send(POST + POST)
+        _run_until(reactor, lambda: handler.exchanges)
+        first = handler.exchanges[0]
+        first.start(200, [])
+        first.write(b'first')
+        first.end()
+        _run_until(reactor, lambda: len(handler.exchanges) == 2)
+        second = handler.exchanges[1]
+        second.start(200, [])
+        first.write(b'late')
+        first.start(500, [])
+        finish(first)
+        first.respond(500, [], b'late')
+        second.write(b'second')
+        second.end()
+        data = _read_until(reactor, sock, lambda data: b'second' in data)
+        assert data.count(b'HTTP/1.1 200') == 2
+        assert b'late' not in data and b'500' not in data
+        sock.close()
+
+
 def test_slow_reader_congests_only_its_connection():
     """Unsent output marks a connection as congested until it is read."""
     handler = RecordingHandler(_never_respond)
