Read what targets' responses say of themselves, and log it

No line told a target that asks for a rest from one that is full, and none that a target leaves.

Retry-After of a 503 and the statement that a target leaves are decoded and logged ('target rests', 'target leaves') and counted; nothing is decided by them yet. Only what speaks for the target counts: not an answer with another request's id, not a success without signature, not one to a misdirected request. 429 is a matter of one caller, so it asks for no rest.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -23,6 +23,9 @@
     ) -> messages.TargetResponse:
         """Decode the head of a target's response."""
 
+    def record_statements(self, attempt: 'Attempt') -> None:
+        """Record what the head of a response says of the target itself."""
+
     def start_forwarding(self, attempt: 'Attempt') -> None:
         """Begin to forward a stream or a response too large to buffer.
 
@@ -84,6 +87,11 @@
             connect_timeout_s=const.CONNECT_TIMEOUT_S,
         )
 
+    @property
+    def attempt_id(self) -> str:
+        """Return the id of the request, which the target echoes."""
+        return self._request.attempt_id
+
     @property
     def may_have_run(self) -> bool:
         """Return whether the target may have begun to run the request."""
@@ -129,6 +137,8 @@
             self._fail('wrong_answer')
             return
         self.response = response
+        if _speaks_for_target(response):
+            self._listener.record_statements(self)
         if response.is_refused:
             self.abort()
             self._listener.handle_refusal(self)
@@ -183,3 +193,15 @@
         and not response.is_encoded
         and bool(response.attempt_id)
     )
+
+
+def _speaks_for_target(response: messages.TargetResponse) -> bool:
+    """Return whether what a response says of its sender is the target's word.
+
+    Only a success is signed. Of the other responses those that name another
+    request have been dropped; a misdirected request was answered by another
+    target.
+    """
+    if response.is_success:
+        return _is_from_target(response)
+    return not response.is_misdirected
--- a/packages/bambooring/src/bambooring/forwarding/forwarder.py
+++ b/packages/bambooring/src/bambooring/forwarding/forwarder.py
@@ -36,6 +36,9 @@
     ) -> messages.TargetResponse:
         """Decode the head of a target's response."""
 
+    def record_statements(self, attempt: attempt_module.Attempt) -> None:
+        """Record what the head of a response says of its target."""
+
     def dispatch_or_queue(
         self, pending: 'pending_request.PendingRequest'
     ) -> None:
--- a/packages/bambooring/src/bambooring/forwarding/messages.py
+++ b/packages/bambooring/src/bambooring/forwarding/messages.py
@@ -57,7 +57,9 @@
     ``is_signed`` means that the response carries the signature by which the
     target vouches for it, ``is_encoded`` that its body has a content
     encoding. ``faulty_target`` names the target that made a model group fail,
-    if the response says so.
+    if the response says so. ``rest_s`` is the time in seconds, above 0, that
+    the response asks to wait, None if it names none. ``is_leaving`` means that
+    the target says it is about to end.
     """
 
     status: int
@@ -69,6 +71,17 @@
     is_encoded: bool
     is_stream: bool
     faulty_target: str
+    rest_s: float | None
+    is_leaving: bool
+
+    @property
+    def asked_rest_s(self) -> float | None:
+        """Return for how long the target wants no requests, if it says so.
+
+        Too many requests (429) are a matter of one caller, and another status
+        than 503 with a time to wait is for the caller, not for this instance.
+        """
+        return self.rest_s if self.status == 503 else None
 
     @property
     def is_success(self) -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -157,6 +157,10 @@
         """Decode the head of a target's response."""
         return self._forwarder.read_response_head(head)
 
+    def record_statements(self, attempt: attempt_module.Attempt) -> None:
+        """Record what the head of a response says of the target itself."""
+        self._forwarder.record_statements(attempt)
+
     def start_forwarding(self, attempt: attempt_module.Attempt) -> None:
         """Begin to forward a response that is not buffered.
 
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -19,6 +19,7 @@
 from bambooring.forwarding import pending_request
 from bambooring.forwarding import rejections
 from bambooring.forwarding import stalls
+from bambooring.forwarding import statements
 from bambooring.loads import const as loads_const
 from bambooring import metrics
 from bambooring.policy import lease as lease_module
@@ -326,6 +327,10 @@
         """Decode the head of a target's response."""
         return self._dialect.read_response_head(head)
 
+    def record_statements(self, attempt: attempt_module.Attempt) -> None:
+        """Record what the head of a response says of its target."""
+        statements.record_statements(attempt, self.reactor.now())
+
     def release_attempt(self, attempt: attempt_module.Attempt) -> None:
         """Remove an ended attempt from its target's load.
 
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -79,6 +79,8 @@
             is_encoded=False,
             is_stream=b'stream' in values,
             faulty_target='',
+            rest_s=float(values[b'rest']) if b'rest' in values else None,
+            is_leaving=b'leaving' in values,
         )
 
     def read_policy(self, document):
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -29,6 +29,14 @@
     'Times that a target was sent no new requests for a while, by reason.',
     ['reason'],
 )
+TARGET_RESTS = prometheus_client.Counter(
+    'bambooring_target_rests_total',
+    'Responses by which a target asked for a rest.',
+)
+TARGETS_LEAVING = prometheus_client.Counter(
+    'bambooring_targets_leaving_total',
+    'Runs of targets that said in a response that they leave.',
+)
 TARGET_CHECKS = prometheus_client.Counter(
     'bambooring_target_checks_total',
     'Checks whether a target that dropped a request has ended, by outcome.',
