Send nothing to a target while it has the rest it asked for

Cause: nothing read the rest. A refusal made a target busy for 0.1 s, after which it had the least load and attracted the next request. Each refusal cost a retry of the budget that all instances share, and three in a row paused the whole service.

Change: balancing/rests.py keeps rests by run of a target. A target that rests gets no request of any kind and is no capacity; after its end one request probes it. A request that was sent before is no probe while others have room. Such a refusal doesn't count towards the pause of the service. If all rest for longer than a caller may wait, it is told at once when the first one is back (targets_rest), spread over a mean duration; what can't be refused waits.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -29,6 +29,10 @@
 CONSECUTIVE_REFUSALS_THRESHOLD: typing.Final = 3
 SERVICE_BACKOFF_S: typing.Final = 0.3
 
+# The longest rest that a target gets without being asked by a probe whether it
+# still wants it. A time in a wrong unit must not exclude it for a day.
+REST_MAX_S: typing.Final = 300.0
+
 # A group that its ranks report as broken still gets a request this often,
 # because the report that it is open again may not reach this instance.
 BROKEN_GROUP_PROBE_INTERVAL_S: typing.Final = 1.0
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -17,6 +17,7 @@
 from bambooring.balancing import const
 from bambooring.balancing import groups as groups_module
 from bambooring.balancing import limit as limit_module
+from bambooring.balancing import rests as rests_module
 from bambooring.loads import peers as peers_module
 from bambooring.loads import state as loads_state
 from bambooring.targets import messages as targets
@@ -58,10 +59,10 @@
     """The capacity of a service and how much of it is used.
 
     ``target_count`` counts all targets that take new work,
-    ``usable_target_count`` those of them that aren't ejected. ``slots`` and
-    ``running`` are totals over the usable targets. ``waiting_elsewhere`` is
-    the number of requests that wait for the service at the other entry
-    instances.
+    ``usable_target_count`` those of them that aren't ejected and don't rest.
+    ``slots`` and ``running`` are totals over the usable targets.
+    ``waiting_elsewhere`` is the number of requests that wait for the service
+    at the other entry instances.
     """
 
     target_count: int
@@ -85,6 +86,7 @@
         self._consecutive_refusals: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
         self._groups = groups_module.GroupTracker()
+        self.rests = rests_module.Rests()
         self._mean_durations_s: dict[str, float] = {}
         self._report_sequence = 0
 
@@ -105,6 +107,11 @@
         }
         for target_id in self._health_by_target.keys() - known_ids:
             del self._health_by_target[target_id]
+        self.rests.set_known_runs(
+            rests_module.get_run(target)
+            for service_targets in by_service.values()
+            for target in service_targets.values()
+        )
 
     def has_target(self, target: targets.Target) -> bool:
         """Return whether a run of a target takes new work."""
@@ -117,6 +124,8 @@
         service: str,
         now_s: float,
         excluded_ids: collections.abc.Container[str] = (),
+        *,
+        may_probe: bool = True,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -125,6 +134,8 @@
         :param service: the service's name
         :param now_s: the current time in seconds
         :param excluded_ids: the ids of targets that already had the request
+        :param may_probe: whether to choose a target that needs a probe after
+            its rest though another one has room
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -134,13 +145,17 @@
             return None
         candidates = self._list_candidates(service, now_s, excluded_ids)
         scored_candidates = [
-            (self._score(target, load), target)
+            (
+                not may_probe and self.rests.needs_probe(target),
+                self._score(target, load),
+                target,
+            )
             for target in candidates
             if self._has_room(target, load := self._sum_load(target.id))
         ]
         if not scored_candidates:
             return None
-        _, best = min(scored_candidates, key=lambda pair: pair[0])
+        _, _, best = min(scored_candidates, key=lambda item: item[:2])
         self._groups.record_request(service, now_s)
         return Choice(
             target=best,
@@ -159,13 +174,14 @@
 
         Ejecting all targets of a service would leave its callers without
         any answer, and the cause of the failures may be on this instance's
-        side. Targets that are excluded or busy are left out either way.
+        side. Targets that are excluded, busy or rest are left out either way.
         """
         available = [
             target
             for target in self._targets_by_service.get(service, {}).values()
             if target.id not in excluded_ids
             and not self._is_busy(target.id, now_s)
+            and self.rests.may_send(target, now_s)
         ]
         healthy = [
             candidate
@@ -292,6 +308,7 @@
             target
             for target in service_targets.values()
             if self._is_healthy(target.id, now_s)
+            and not self.rests.get_remaining_s(target, now_s)
         ]
         return ServiceCapacity(
             target_count=len(service_targets),
@@ -307,6 +324,26 @@
             waiting_elsewhere=self.loads.count_waiting(service),
         )
 
+    def get_rest_wait_s(
+        self,
+        service: str,
+        now_s: float,
+        excluded_ids: collections.abc.Container[str] = (),
+    ) -> float | None:
+        """Return when the first target is back, if all of them rest.
+
+        :param service: the service's name
+        :param now_s: the current time in seconds
+        :param excluded_ids: the ids of targets that aren't waited for
+        :returns: the time until then in seconds, None if one doesn't rest
+        """
+        waits_s = [
+            self.rests.get_remaining_s(target, now_s)
+            for target in self._targets_by_service.get(service, {}).values()
+            if target.id not in excluded_ids
+        ]
+        return min(waits_s, default=0.0) or None
+
     def add_request(self, target_id: str, tokens: int) -> None:
         """Count a request that is sent to a target.
 
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -74,6 +74,11 @@
 # The share of that time which may be spent waiting for a free slot.
 STREAM_WAIT_SHARE: typing.Final = 0.8
 
+# How often a request is tried again at other targets after some that asked for
+# a rest. Each refuses once in its rest, so more of them than of the above may
+# refuse one request before it meets one that serves it.
+MAX_RESTING_ATTEMPTS: typing.Final = 20
+
 RETRY_AFTER_MIN_S: typing.Final = 0.2
 RETRY_AFTER_MAX_S: typing.Final = 2.0
 # It is unknown how long an outage of a whole service lasts. A caller is asked
@@ -103,6 +108,7 @@
     TOO_LATE = 'too_late'
     TARGET_REFUSED = 'target_refused'
     GROUP_BROKEN = 'group_broken'
+    TARGETS_REST = 'targets_rest'
     TARGET_FAILED = 'target_failed'
     SUSPECT = 'suspect'
     TIMEOUT = 'timeout'
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -195,7 +195,7 @@
     :param progress: what has been tried for the request
     :param time_left_s: the time until the caller's deadline
     """
-    if progress.is_response_started or progress.may_have_run:
+    if not progress.may_be_refused:
         return False
     return time_left_s > const.RETRY_LATER_TIME_SHARE * route.timeout_s
 
@@ -205,6 +205,7 @@
     """What has been tried for a pending request.
 
     ``refused_count`` counts the attempts that provably did not run,
+    ``resting_count`` those of them whose target asked for a rest, and
     ``attempt_count`` all attempts. ``may_have_run`` is true if an attempt was
     sent and nothing proves that the target did not run it.
     ``is_response_started`` is true if the caller has a part of the response.
@@ -212,9 +213,15 @@
 
     attempt_count: int = 0
     refused_count: int = 0
+    resting_count: int = 0
     may_have_run: bool = False
     is_response_started: bool = False
 
+    @property
+    def may_be_refused(self) -> bool:
+        """Return whether the caller may be told that nothing has run."""
+        return not self.is_response_started and not self.may_have_run
+
 
 def may_retry(
     route: policy.Route, progress: Progress, time_left_s: float
@@ -231,7 +238,10 @@
     """
     if time_left_s <= 0:
         return False
-    if progress.refused_count > const.MAX_REFUSED_ATTEMPTS:
+    busy_count = progress.refused_count - progress.resting_count
+    if busy_count > const.MAX_REFUSED_ATTEMPTS:
+        return False
+    if progress.resting_count > const.MAX_RESTING_ATTEMPTS:
         return False
     possible_runs = progress.attempt_count - progress.refused_count
     if possible_runs and not route.is_retryable:
--- a/packages/bambooring/src/bambooring/forwarding/forwarder.py
+++ b/packages/bambooring/src/bambooring/forwarding/forwarder.py
@@ -39,6 +39,14 @@
     def record_statements(self, attempt: attempt_module.Attempt) -> None:
         """Record what the head of a response says of its target."""
 
+    def refuse_for_rests(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> bool:
+        """Refuse a request if all targets rest for longer than it waits.
+
+        :returns: whether it has been refused
+        """
+
     def dispatch_or_queue(
         self, pending: 'pending_request.PendingRequest'
     ) -> None:
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -349,10 +349,17 @@
         """Retry a request that the target provably does not run."""
         response = attempt.response
         assert response is not None
-        self._close_attempt(attempt, f'refused_{response.status}')
+        outcome = f'refused_{response.status}'
+        if response.asked_rest_s is not None:
+            outcome += f' rest={round(response.asked_rest_s * 1000)}ms'
+        self._close_attempt(attempt, outcome)
         self.progress.refused_count += 1
         if response.is_misdirected:
             self._forwarder.eject_target(attempt.target.id, 'other_target')
+        elif response.asked_rest_s is not None:
+            # The others may be sound, so this is no sign of a broken group.
+            self.progress.resting_count += 1
+            self.tried_targets.discard(attempt.target.id)
         else:
             self._forwarder.balancer.record_refusal(
                 attempt.target.id,
@@ -396,6 +403,8 @@
             self.give_up(reason)
         elif self.suspicion.judge().is_forbidden:
             self.give_up(const.Reason.SUSPECT)
+        elif self._forwarder.refuse_for_rests(self):
+            return
         elif self._claim_retry(reason.value):
             self._forwarder.dispatch_or_queue(self)
         else:
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -175,7 +175,12 @@
         ):
             pending.give_up(const.Reason.GROUP_BROKEN)
             return
+        if self.refuse_for_rests(pending):
+            return
         estimate = self._estimate_wait(pending.service, len(ahead), pending)
+        if self._must_wait_for_rests(pending):
+            self._append_to_queue(pending, self._get_latest_start_s(pending))
+            return
         if not estimate.is_worthwhile:
             LOG.info(
                 'no place in the queue',
@@ -185,17 +190,81 @@
                 wait_ms=round(estimate.wait_s * 1000),
                 limit_ms=round(estimate.limit_s * 1000),
             )
-            pending.give_up(self._get_reject_reason(pending.service, now_s))
+            pending.give_up(self._get_reject_reason(pending, now_s))
             return
-        pending.queue_deadline_s = min(
-            now_s + max(0.0, estimate.limit_s),
-            pending.received_s + pending.max_wait_s,
+        self._append_to_queue(
+            pending,
+            min(
+                now_s + max(0.0, estimate.limit_s),
+                pending.received_s + pending.max_wait_s,
+            ),
         )
-        queue.append(pending)
+
+    def _append_to_queue(
+        self, pending: pending_request.PendingRequest, deadline_s: float
+    ) -> None:
+        pending.queue_deadline_s = deadline_s
+        self._queues[pending.service].append(pending)
         self.report_load()
         self._schedule_poll()
 
-    def _get_reject_reason(self, service: str, now_s: float) -> const.Reason:
+    def _get_rest_wait_s(
+        self, pending: pending_request.PendingRequest
+    ) -> float | None:
+        return self.balancer.get_rest_wait_s(
+            pending.service, self.reactor.now(), pending.tried_targets
+        )
+
+    def refuse_for_rests(
+        self, pending: pending_request.PendingRequest
+    ) -> bool:
+        """Refuse a request if all targets rest for longer than it waits.
+
+        :param pending: the request, which isn't queued
+        :returns: whether it has been refused
+        """
+        wait_s = self._get_rest_wait_s(pending)
+        if wait_s is None or not pending.progress.may_be_refused:
+            return False
+        estimate = self._estimate_wait(pending.service, 0, pending)
+        latest_wait_s = min(
+            estimate.limit_s,
+            pending.received_s + pending.max_wait_s - self.reactor.now(),
+        )
+        if wait_s <= latest_wait_s:
+            return False
+        pending.give_up(const.Reason.TARGETS_REST)
+        return True
+
+    def _must_wait_for_rests(
+        self, pending: pending_request.PendingRequest
+    ) -> bool:
+        return (
+            not pending.progress.may_be_refused
+            and self._get_rest_wait_s(pending) is not None
+        )
+
+    def _get_latest_start_s(
+        self, pending: pending_request.PendingRequest
+    ) -> float:
+        """Return until when a request waits that can't be refused.
+
+        The caller of a stream that has begun counts from its last event.
+        """
+        if not pending.progress.is_response_started:
+            return pending.received_s + pending.max_wait_s
+        idle_s = decisions.get_stream_idle_s(pending.route)
+        return min(
+            pending.deadline_s,
+            self.reactor.now() + idle_s * const.STREAM_WAIT_SHARE,
+        )
+
+    def _get_reject_reason(
+        self, pending: pending_request.PendingRequest, now_s: float
+    ) -> const.Reason:
+        service = pending.service
+        if self._get_rest_wait_s(pending) is not None:
+            return const.Reason.TARGETS_REST
         if not self.balancer.get_capacity(service, now_s).usable_target_count:
             return const.Reason.NO_TARGET
         if self.balancer.is_group_broken(service):
@@ -221,22 +290,31 @@
 
     def _try_dispatch(self, pending: pending_request.PendingRequest) -> bool:
         now_s = self.reactor.now()
-        choice = self.balancer.choose(
-            pending.service, now_s, pending.tried_targets
-        )
+        choice = self._choose(pending, now_s)
         if choice is None:
             return False
         pending.send_to_target(choice)
         return True
 
+    def _choose(
+        self, pending: pending_request.PendingRequest, now_s: float
+    ) -> balancing.Choice | None:
+        """Choose a target; one that rested is probed by new requests.
+
+        A request that was sent before has lost time already.
+        """
+        return self.balancer.choose(
+            pending.service,
+            now_s,
+            pending.tried_targets,
+            may_probe=not pending.progress.attempt_count,
+        )
+
     def may_dispatch(self, pending: pending_request.PendingRequest) -> bool:
         """Return whether a target could take a request now."""
         if self.balancer.is_group_broken(pending.service):
             return False
-        choice = self.balancer.choose(
-            pending.service, self.reactor.now(), pending.tried_targets
-        )
-        return choice is not None
+        return self._choose(pending, self.reactor.now()) is not None
 
     def _schedule_poll(self) -> None:
         if self._poll_timer is None:
@@ -262,12 +340,21 @@
     def _give_up_overdue(
         self, queue: list[pending_request.PendingRequest], now_s: float
     ) -> None:
-        """Give up requests that have waited as long as their callers do."""
+        """Give up requests that have waited as long as their callers do.
+
+        Those whose targets will all rest until then are told so at once.
+        """
         for pending in list(queue):
             if now_s >= pending.queue_deadline_s:
-                pending.give_up(
-                    self._get_reject_reason(pending.service, now_s)
-                )
+                pending.give_up(self._get_reject_reason(pending, now_s))
+                continue
+            wait_s = self._get_rest_wait_s(pending)
+            if (
+                wait_s is not None
+                and now_s + wait_s > pending.queue_deadline_s
+                and pending.progress.may_be_refused
+            ):
+                pending.give_up(const.Reason.TARGETS_REST)
 
     def _dispatch_first(
         self, queue: list[pending_request.PendingRequest]
@@ -275,9 +362,7 @@
         """Send the first queued request; return False if it must wait."""
         pending = queue[0]
         now_s = self.reactor.now()
-        choice = self.balancer.choose(
-            pending.service, now_s, pending.tried_targets
-        )
+        choice = self._choose(pending, now_s)
         if choice is None:
             return False
         queue.remove(pending)
@@ -307,6 +392,9 @@
             pending.request, pending.make_attempt_metadata(choice.target.id)
         )
         self.balancer.add_request(choice.target.id, attempt.unread_tokens)
+        self.balancer.rests.record_request(
+            choice.target, attempt.attempt_id, self.reactor.now()
+        )
         self.report_load()
         LOG.info(
             'request sent to target',
@@ -329,7 +417,9 @@
 
     def record_statements(self, attempt: attempt_module.Attempt) -> None:
         """Record what the head of a response says of its target."""
-        statements.record_statements(attempt, self.reactor.now())
+        statements.record_statements(
+            attempt, self.balancer, self.reactor.now()
+        )
 
     def release_attempt(self, attempt: attempt_module.Attempt) -> None:
         """Remove an ended attempt from its target's load.
@@ -337,6 +427,7 @@
         A queued request may then use the free slot.
         """
         self.balancer.remove_request(attempt.target.id, attempt.unread_tokens)
+        self.balancer.rests.record_end(attempt.target, attempt.attempt_id)
         self._schedule_load_report(loads_const.FREED_SLOT_REPORT_DELAY_S)
         self.reactor.call_soon(self.dispatch_queued)
 
@@ -408,6 +499,12 @@
             return max(verdict.wait_s, const.RETRY_AFTER_MIN_S)
         service = pending.service
         now_s = self.reactor.now()
+        rest_wait_s = self._get_rest_wait_s(pending)
+        if rest_wait_s is not None:
+            # The first target to be back needs as long for one request.
+            spread_s = self.balancer.get_mean_duration_s(service)
+            wait_s = rest_wait_s + self._rng.uniform(0.0, spread_s)
+            return max(wait_s, const.RETRY_AFTER_MIN_S)
         capacity = self.balancer.get_capacity(service, now_s)
         if not capacity.usable_target_count or self.balancer.is_unavailable(
             service, now_s
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -144,11 +144,17 @@
     """A target that responds as a function of this module says.
 
     ``runs`` holds the attempt ids of the requests that ran. ``stop`` ends the
-    target: its connections are reset, and new ones are refused.
+    target: its connections are reset, and new ones are refused. ``rest`` is
+    the time that it asks for, ``refused_s`` when it did so.
     """
 
-    def __init__(self, script):
+    def __init__(self, script, get_time_s):
         self.script = script
+        self.rest = b'3'
+        self.refused_s = []
+        self.is_resting = False
+        self.hanging = []
+        self._get_time_s = get_time_s
         self.runs = []
         self.disconnects = 0
         self.stop = None
@@ -161,6 +167,15 @@
     def _count_disconnect(self):
         self.disconnects += 1
 
+    @property
+    def refusals(self):
+        """Return how often the target asked for a rest."""
+        return len(self.refused_s)
+
+    def record_refusal(self):
+        """Record that a request is told that the target wants a rest."""
+        self.refused_s.append(self._get_time_s())
+
     def record_run(self, exchange):
         """Record that a request runs here."""
         self.runs.append(exchange.request.get(b'id'))
@@ -181,6 +196,69 @@
     exchange.respond(503, [(b'Not-Run', b'1')], b'')
 
 
+def ask_for_rest(target, exchange):
+    """Respond that the request has not run, and ask for a rest."""
+    target.record_refusal()
+    exchange.respond(503, [(b'Not-Run', b'1'), (b'Rest', target.rest)], b'')
+
+
+def rest_once(target, exchange):
+    """Ask for one rest; then run requests and respond with success."""
+    if not target.refusals:
+        ask_for_rest(target, exchange)
+    elif exchange.request.target.startswith('/talk/'):
+        send_stream(target, exchange)
+    else:
+        respond_with_success(target, exchange)
+
+
+def rest_then_hang(target, exchange):
+    """Ask for one rest; then run requests and respond when told to."""
+    if not target.refusals:
+        ask_for_rest(target, exchange)
+    else:
+        target.record_run(exchange)
+        target.hanging.append(exchange)
+
+
+def hang_then_rest(target, exchange):
+    """Run requests and never respond; ask for a rest when told to."""
+    if target.is_resting:
+        ask_for_rest(target, exchange)
+    else:
+        hang(target, exchange)
+
+
+def stream_then_rest(target, exchange):
+    """Run one request in part; then ask for a rest."""
+    if target.runs:
+        ask_for_rest(target, exchange)
+    else:
+        cut_stream(target, exchange)
+
+
+def fail_and_ask_for_rest(target, exchange):
+    """Ask for a rest without proof that the request has not run."""
+    target.record_refusal()
+    exchange.respond(
+        503,
+        [(b'Id', exchange.request.get(b'id')), (b'Rest', target.rest)],
+        b'',
+    )
+
+
+def answer_another_with_a_rest(target, exchange):
+    """Respond with the id of another request and a rest."""
+    exchange.respond(
+        503, [(b'Id', b'other'), (b'Not-Run', b'1'), (b'Rest', b'3')], b''
+    )
+
+
+def refuse_as_too_many(target, exchange):
+    """Respond that the caller sends too many requests."""
+    exchange.respond(429, [(b'Not-Run', b'1'), (b'Rest', b'3')], b'')
+
+
 def reset_connection(target, exchange):
     """Run a request and reset the connection."""
     target.record_run(exchange)
@@ -295,7 +373,9 @@
         self.reactor = stack.enter_context(
             reactor_module.Reactor(_OffsetClock(self.clock))
         )
-        self.targets = [ScriptedTarget(script) for script in scripts]
+        self.targets = [
+            ScriptedTarget(script, self.reactor.now) for script in scripts
+        ]
         self.balancer = balancing.Balancer('a', random.Random(1))
         self.crash_news: list[crashes.CrashNews] = []
         self.forwarder = task.Forwarder(
