--- a/packages/bambooring/src/bambooring/operators/explanation.py
+++ b/packages/bambooring/src/bambooring/operators/explanation.py
@@ -25,6 +25,7 @@
         'lease regained',
         'limit of running requests',
         'target passed over',
+        'target rests',
         'target checked',
         'target crashed before it answered',
         'crash known',
