Send no new request to a target that says it leaves

What callers saw: none reported; the users' new rule (DRAIN) says what would break. Found by reading: nothing read the statement in a target's response, so a target that leaves got requests until its announcement arrived, and for good if it announces nothing.

Cause: only announcements decided which targets take new work.

Change: a response that is the target's own and says that it leaves marks that run at this instance at once, at the head of a long stream or in a refusal too. The run gets no new request, whatever is announced of it later, is no capacity, and its end is no crash; what runs there goes on. A success without signature, a response to another request or of another target marks nothing. Why the mark isn't shared, and what happens if the last target leaves: docs/design/platform.md.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -33,6 +33,10 @@
 # still wants it. A time in a wrong unit must not exclude it for a day.
 REST_MAX_S: typing.Final = 300.0
 
+# How long a run that leaves is remembered after it has said so, if it isn't
+# announced any more. Longer than announcements are kept without heartbeats.
+LEAVING_RETENTION_S: typing.Final = 600.0
+
 # A group that its ranks report as broken still gets a request this often,
 # because the report that it is open again may not reach this instance.
 BROKEN_GROUP_PROBE_INTERVAL_S: typing.Final = 1.0
--- a/packages/bambooring/src/bambooring/balancing/rests.py
+++ b/packages/bambooring/src/bambooring/balancing/rests.py
@@ -8,20 +8,11 @@
 
 import collections.abc
 import dataclasses
-import typing
 
 from bambooring.balancing import const
+from bambooring.balancing import runs as runs_module
 from bambooring.targets import messages as targets
 
-# The id of a target and the start of its run. A new run begins without a rest,
-# also at the address or under the id of an earlier one.
-Run: typing.TypeAlias = tuple[str, int]
-
-
-def get_run(target: targets.Target) -> Run:
-    """Return the run of a target that an announcement is of."""
-    return target.id, target.born_ms
-
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Rest:
@@ -40,10 +31,12 @@
     __slots__ = ('_known_runs', '_rests')
 
     def __init__(self) -> None:
-        self._rests: dict[Run, _Rest] = {}
-        self._known_runs: frozenset[Run] = frozenset()
+        self._rests: dict[runs_module.Run, _Rest] = {}
+        self._known_runs: frozenset[runs_module.Run] = frozenset()
 
-    def set_known_runs(self, runs: collections.abc.Iterable[Run]) -> None:
+    def set_known_runs(
+        self, runs: collections.abc.Iterable[runs_module.Run]
+    ) -> None:
         """Replace the runs that take new work."""
         self._known_runs = frozenset(runs)
 
@@ -62,7 +55,9 @@
         """
         self._drop_unknown_runs(now_s)
         until_s = now_s + min(asked_s, const.REST_MAX_S)
-        rest = self._rests.setdefault(get_run(target), _Rest(until_s=until_s))
+        rest = self._rests.setdefault(
+            runs_module.get_run(target), _Rest(until_s=until_s)
+        )
         rest.until_s = max(rest.until_s, until_s)
         return rest.until_s - now_s
 
@@ -78,23 +73,23 @@
 
     def get_remaining_s(self, target: targets.Target, now_s: float) -> float:
         """Return how long a target still rests, 0 if it doesn't."""
-        rest = self._rests.get(get_run(target))
+        rest = self._rests.get(runs_module.get_run(target))
         return max(0.0, rest.until_s - now_s) if rest is not None else 0.0
 
     def may_send(self, target: targets.Target, now_s: float) -> bool:
         """Return whether a target may get a request."""
-        rest = self._rests.get(get_run(target))
+        rest = self._rests.get(runs_module.get_run(target))
         return rest is None or (rest.until_s <= now_s and not rest.probe)
 
     def needs_probe(self, target: targets.Target) -> bool:
         """Return whether a target has answered nothing since its rest."""
-        return get_run(target) in self._rests
+        return runs_module.get_run(target) in self._rests
 
     def record_request(
         self, target: targets.Target, request_id: str, now_s: float
     ) -> None:
         """Record that a request is sent; after a rest it is the probe."""
-        rest = self._rests.get(get_run(target))
+        rest = self._rests.get(runs_module.get_run(target))
         if rest is not None and rest.until_s <= now_s:
             rest.probe = request_id
 
@@ -103,9 +98,9 @@
 
         A request that was sent before the rest says nothing of its end.
         """
-        rest = self._rests.get(get_run(target))
+        rest = self._rests.get(runs_module.get_run(target))
         if rest is not None and rest.probe and rest.probe == request_id:
-            del self._rests[get_run(target)]
+            del self._rests[runs_module.get_run(target)]
 
     def record_end(self, target: targets.Target, request_id: str) -> None:
         """Record that a request has ended, so that another may be the probe.
@@ -113,6 +108,6 @@
         :param target: the target
         :param request_id: the id of the request
         """
-        rest = self._rests.get(get_run(target))
+        rest = self._rests.get(runs_module.get_run(target))
         if rest is not None and rest.probe == request_id:
             rest.probe = ''
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -16,8 +16,10 @@
 
 from bambooring.balancing import const
 from bambooring.balancing import groups as groups_module
+from bambooring.balancing import leaving as leaving_module
 from bambooring.balancing import limit as limit_module
 from bambooring.balancing import rests as rests_module
+from bambooring.balancing import runs as runs_module
 from bambooring.loads import peers as peers_module
 from bambooring.loads import state as loads_state
 from bambooring.targets import messages as targets
@@ -87,6 +89,7 @@
         self._backoff_until_s: dict[str, float] = {}
         self._groups = groups_module.GroupTracker()
         self.rests = rests_module.Rests()
+        self.leaving = leaving_module.LeavingRuns()
         self._mean_durations_s: dict[str, float] = {}
         self._report_sequence = 0
 
@@ -107,17 +110,31 @@
         }
         for target_id in self._health_by_target.keys() - known_ids:
             del self._health_by_target[target_id]
-        self.rests.set_known_runs(
-            rests_module.get_run(target)
+        known_runs = {
+            runs_module.get_run(target)
             for service_targets in by_service.values()
             for target in service_targets.values()
-        )
+        }
+        self.rests.set_known_runs(known_runs)
+        self.leaving.set_known_runs(known_runs)
 
     def has_target(self, target: targets.Target) -> bool:
         """Return whether a run of a target takes new work."""
         service_targets = self._targets_by_service.get(target.service, {})
         known = service_targets.get(target.id)
-        return known is not None and known.born_ms == target.born_ms
+        return (
+            known is not None
+            and known.born_ms == target.born_ms
+            and not self.leaving.is_marked(target)
+        )
+
+    def _list_targets(self, service: str) -> list[targets.Target]:
+        """Return the targets of a service that take new work."""
+        return [
+            target
+            for target in self._targets_by_service.get(service, {}).values()
+            if not self.leaving.is_marked(target)
+        ]
 
     def choose(
         self,
@@ -178,7 +195,7 @@
         """
         available = [
             target
-            for target in self._targets_by_service.get(service, {}).values()
+            for target in self._list_targets(service)
             if target.id not in excluded_ids
             and not self._is_busy(target.id, now_s)
             and self.rests.may_send(target, now_s)
@@ -303,10 +320,10 @@
 
     def get_capacity(self, service: str, now_s: float) -> ServiceCapacity:
         """Return a service's capacity, use and number of targets."""
-        service_targets = self._targets_by_service.get(service, {})
+        service_targets = self._list_targets(service)
         usable = [
             target
-            for target in service_targets.values()
+            for target in service_targets
             if self._is_healthy(target.id, now_s)
             and not self.rests.get_remaining_s(target, now_s)
         ]
@@ -339,7 +356,7 @@
         """
         waits_s = [
             self.rests.get_remaining_s(target, now_s)
-            for target in self._targets_by_service.get(service, {}).values()
+            for target in self._list_targets(service)
             if target.id not in excluded_ids
         ]
         return min(waits_s, default=0.0) or None
--- a/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
@@ -5,6 +5,7 @@
 
 from bambooring.balancing import const
 from bambooring.balancing import rests as rests_module
+from bambooring.balancing import runs as runs_module
 from bambooring.balancing import state
 from bambooring.targets import messages
 
@@ -136,7 +137,7 @@
     rests = rests_module.Rests()
     for number in range(1000):
         target = _make_target(str(number))
-        rests.set_known_runs([rests_module.get_run(target)])
+        rests.set_known_runs([runs_module.get_run(target)])
         rests.begin(target, 1.0, float(number))
     assert len(rests._rests) <= 3
 
--- a/packages/bambooring/src/bambooring/forwarding/statements.py
+++ b/packages/bambooring/src/bambooring/forwarding/statements.py
@@ -23,6 +23,7 @@
 
     :param attempt: the attempt, whose response is the target's own
     :param balancer: the balancer, which sends nothing to a target that rests
+        or leaves
     :param now_s: the current time in seconds
     """
     response = attempt.response
@@ -43,7 +44,7 @@
             status=response.status,
             request=attempt.attempt_id,
         )
-    if response.is_leaving:
+    if response.is_leaving and balancer.leaving.mark(attempt.target, now_s):
         metrics.TARGETS_LEAVING.inc()
         LOG.info(
             'target leaves',
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -259,6 +259,74 @@
     exchange.respond(429, [(b'Not-Run', b'1'), (b'Rest', b'3')], b'')
 
 
+def respond_and_leave(target, exchange):
+    """Run a request, respond with success and say that the target leaves."""
+    target.record_run(exchange)
+    exchange.respond(200, make_headers(exchange, (b'Leaving', b'1')), b'whole')
+
+
+def refuse_and_leave(target, exchange):
+    """Respond that the request has not run and that the target leaves."""
+    target.record_refusal()
+    exchange.respond(503, [(b'Not-Run', b'1'), (b'Leaving', b'1')], b'')
+
+
+def fail_and_leave(target, exchange):
+    """Run a request, respond with an error and say that it leaves."""
+    target.record_run(exchange)
+    exchange.respond(
+        500, make_headers(exchange, (b'Leaving', b'1')), b'failed'
+    )
+
+
+def stream_and_leave(target, exchange):
+    """Run a request and begin a stream whose head says that it leaves."""
+    target.record_run(exchange)
+    exchange.start(
+        200, make_headers(exchange, (b'Stream', b'1'), (b'Leaving', b'1'))
+    )
+    exchange.write(make_events(1, 4))
+    target.cut_exchange = exchange
+
+
+def leave_then_hang(target, exchange):
+    """Run requests; tell the first one when told to that it leaves."""
+    target.record_run(exchange)
+    target.hanging.append(exchange)
+    target.say_that_it_leaves = lambda: _begin_leaving(target.hanging[0])
+
+
+def _begin_leaving(exchange):
+    exchange.start(
+        200, make_headers(exchange, (b'Stream', b'1'), (b'Leaving', b'1'))
+    )
+    exchange.write(make_events(1, 4))
+
+
+def say_unsigned_that_it_leaves(target, exchange):
+    """Respond with success but no signature, and that it leaves."""
+    target.record_run(exchange)
+    exchange.respond(
+        200, [(b'Id', exchange.request.get(b'id')), (b'Leaving', b'1')], b''
+    )
+
+
+def say_to_another_that_it_leaves(target, exchange):
+    """Respond with the id of another request, and that it leaves."""
+    target.record_run(exchange)
+    exchange.respond(
+        200, [(b'Id', b'o'), (b'Signed', b'1'), (b'Leaving', b'1')], b'x'
+    )
+
+
+def misdirected_and_leaving(target, exchange):
+    """Respond as another target, which says that it leaves."""
+    target.record_refusal()
+    exchange.respond(
+        421, [(b'Not-Run', b'1'), (b'Other', b'1'), (b'Leaving', b'1')], b''
+    )
+
+
 def reset_connection(target, exchange):
     """Run a request and reset the connection."""
     target.record_run(exchange)
--- a/packages/bambooring/src/bambooring/operators/explanation.py
+++ b/packages/bambooring/src/bambooring/operators/explanation.py
@@ -26,6 +26,7 @@
         'limit of running requests',
         'target passed over',
         'target rests',
+        'target leaves',
         'target checked',
         'target crashed before it answered',
         'crash known',
