Fail at once what no target is back in time for

A request that may have run, or a stream that had begun, was queued until its caller's time was over though all targets were known to rest for longer.

Change: it waits only if a target is back in time. Its caller may still try at another instance, which may not have been asked for a rest.

Evidence: test_request_fails_at_once_if_a_rest_outlasts_its_caller, both cases failed before (held for 1.6 s and for more than the test turns).

--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -178,8 +178,7 @@
         if self.refuse_for_rests(pending):
             return
         estimate = self._estimate_wait(pending.service, len(ahead), pending)
-        if self._must_wait_for_rests(pending):
-            self._append_to_queue(pending, self._get_latest_start_s(pending))
+        if self._wait_for_rests(pending, now_s):
             return
         if not estimate.is_worthwhile:
             LOG.info(
@@ -236,13 +235,25 @@
         pending.give_up(const.Reason.TARGETS_REST)
         return True
 
-    def _must_wait_for_rests(
-        self, pending: pending_request.PendingRequest
+    def _wait_for_rests(
+        self, pending: pending_request.PendingRequest, now_s: float
     ) -> bool:
-        return (
-            not pending.progress.may_be_refused
-            and self._get_rest_wait_s(pending) is not None
-        )
+        """Queue a request that can't be refused until a target is back.
+
+        If it would have to wait for longer than its caller does, it is given
+        up at once: its caller may still try at another instance.
+
+        :returns: whether all targets rest
+        """
+        wait_s = self._get_rest_wait_s(pending)
+        if wait_s is None or pending.progress.may_be_refused:
+            return False
+        latest_start_s = self._get_latest_start_s(pending)
+        if now_s + wait_s > latest_start_s:
+            pending.give_up(const.Reason.TARGETS_REST)
+        else:
+            self._append_to_queue(pending, latest_start_s)
+        return True
 
     def _get_latest_start_s(
         self, pending: pending_request.PendingRequest
@@ -352,7 +363,6 @@
             if (
                 wait_s is not None
                 and now_s + wait_s > pending.queue_deadline_s
-                and pending.progress.may_be_refused
             ):
                 pending.give_up(const.Reason.TARGETS_REST)
 
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
@@ -211,6 +211,31 @@
     assert harness.read_response(sock)[0].startswith(b'HTTP/1.1 200')
 
 
+# Requests that no target could serve in time were held until that was over.
+@pytest.mark.parametrize('path', [b'/read/1', b'/talk/1'])
+def test_request_fails_at_once_if_a_rest_outlasts_its_caller(
+    make_harness, path
+):
+    """It may have run or begun, so it isn't reported as not run."""
+    script = (
+        harness_module.cut_stream
+        if path == b'/talk/1'
+        else harness_module.reset_connection
+    )
+    harness = make_harness(harness_module.ask_for_rest, script)
+    harness.targets[0].rest = b'60'
+    sock = harness.send_request(path)
+    harness.turn_until(lambda: harness.targets[1].runs)
+    if path == b'/talk/1':
+        harness.targets[1].cut_exchange.abort()
+    started_s = harness.reactor.now()
+    harness.turn_until(lambda: not harness.forwarder.pending_count)
+    assert harness.reactor.now() - started_s < 0.5
+    data = sock.recv(65536)
+    assert b' 503 ' not in data
+    sock.close()
+
+
 # At the end of a rest all that had waited reached the target at once.
 def test_one_request_probes_a_target_after_its_rest(make_harness):
     """The others go to it once it has begun to answer."""
