--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -79,6 +79,8 @@
             is_encoded=False,
             is_stream=b'stream' in values,
             faulty_target='',
+            rest_s=float(values[b'rest']) if b'rest' in values else None,
+            is_leaving=b'leaving' in values,
         )
 
     def read_policy(self, document):
@@ -142,11 +144,17 @@
     """A target that responds as a function of this module says.
 
     ``runs`` holds the attempt ids of the requests that ran. ``stop`` ends the
-    target: its connections are reset, and new ones are refused.
+    target: its connections are reset, and new ones are refused. ``rest`` is
+    the time that it asks for, ``refused_s`` when it did so.
     """
 
-    def __init__(self, script):
+    def __init__(self, script, get_time_s):
         self.script = script
+        self.rest = b'3'
+        self.refused_s = []
+        self.is_resting = False
+        self.hanging = []
+        self._get_time_s = get_time_s
         self.runs = []
         self.disconnects = 0
         self.stop = None
@@ -159,6 +167,15 @@
     def _count_disconnect(self):
         self.disconnects += 1
 
+    @property
+    def refusals(self):
+        """Return how often the target asked for a rest."""
+        return len(self.refused_s)
+
+    def record_refusal(self):
+        """Record that a request is told that the target wants a rest."""
+        self.refused_s.append(self._get_time_s())
+
     def record_run(self, exchange):
         """Record that a request runs here."""
         self.runs.append(exchange.request.get(b'id'))
@@ -179,6 +196,137 @@
     exchange.respond(503, [(b'Not-Run', b'1')], b'')
 
 
+def ask_for_rest(target, exchange):
+    """Respond that the request has not run, and ask for a rest."""
+    target.record_refusal()
+    exchange.respond(503, [(b'Not-Run', b'1'), (b'Rest', target.rest)], b'')
+
+
+def rest_once(target, exchange):
+    """Ask for one rest; then run requests and respond with success."""
+    if not target.refusals:
+        ask_for_rest(target, exchange)
+    elif exchange.request.target.startswith('/talk/'):
+        send_stream(target, exchange)
+    else:
+        respond_with_success(target, exchange)
+
+
+def rest_then_hang(target, exchange):
+    """Ask for one rest; then run requests and respond when told to."""
+    if not target.refusals:
+        ask_for_rest(target, exchange)
+    else:
+        target.record_run(exchange)
+        target.hanging.append(exchange)
+
+
+def hang_then_rest(target, exchange):
+    """Run requests and never respond; ask for a rest when told to."""
+    if target.is_resting:
+        ask_for_rest(target, exchange)
+    else:
+        hang(target, exchange)
+
+
+def stream_then_rest(target, exchange):
+    """Run one request in part; then ask for a rest."""
+    if target.runs:
+        ask_for_rest(target, exchange)
+    else:
+        cut_stream(target, exchange)
+
+
+def fail_and_ask_for_rest(target, exchange):
+    """Ask for a rest without proof that the request has not run."""
+    target.record_refusal()
+    exchange.respond(
+        503,
+        [(b'Id', exchange.request.get(b'id')), (b'Rest', target.rest)],
+        b'',
+    )
+
+
+def answer_another_with_a_rest(target, exchange):
+    """Respond with the id of another request and a rest."""
+    exchange.respond(
+        503, [(b'Id', b'other'), (b'Not-Run', b'1'), (b'Rest', b'3')], b''
+    )
+
+
+def refuse_as_too_many(target, exchange):
+    """Respond that the caller sends too many requests."""
+    exchange.respond(429, [(b'Not-Run', b'1'), (b'Rest', b'3')], b'')
+
+
+def respond_and_leave(target, exchange):
+    """Run a request, respond with success and say that the target leaves."""
+    target.record_run(exchange)
+    exchange.respond(200, make_headers(exchange, (b'Leaving', b'1')), b'whole')
+
+
+def refuse_and_leave(target, exchange):
+    """Respond that the request has not run and that the target leaves."""
+    target.record_refusal()
+    exchange.respond(503, [(b'Not-Run', b'1'), (b'Leaving', b'1')], b'')
+
+
+def fail_and_leave(target, exchange):
+    """Run a request, respond with an error and say that it leaves."""
+    target.record_run(exchange)
+    exchange.respond(
+        500, make_headers(exchange, (b'Leaving', b'1')), b'failed'
+    )
+
+
+def stream_and_leave(target, exchange):
+    """Run a request and begin a stream whose head says that it leaves."""
+    target.record_run(exchange)
+    exchange.start(
+        200, make_headers(exchange, (b'Stream', b'1'), (b'Leaving', b'1'))
+    )
+    exchange.write(make_events(1, 4))
+    target.cut_exchange = exchange
+
+
+def leave_then_hang(target, exchange):
+    """Run requests; tell the first one when told to that it leaves."""
+    target.record_run(exchange)
+    target.hanging.append(exchange)
+    target.say_that_it_leaves = lambda: _begin_leaving(target.hanging[0])
+
+
+def _begin_leaving(exchange):
+    exchange.start(
+        200, make_headers(exchange, (b'Stream', b'1'), (b'Leaving', b'1'))
+    )
+    exchange.write(make_events(1, 4))
+
+
+def say_unsigned_that_it_leaves(target, exchange):
+    """Respond with success but no signature, and that it leaves."""
+    target.record_run(exchange)
+    exchange.respond(
+        200, [(b'Id', exchange.request.get(b'id')), (b'Leaving', b'1')], b''
+    )
+
+
+def say_to_another_that_it_leaves(target, exchange):
+    """Respond with the id of another request, and that it leaves."""
+    target.record_run(exchange)
+    exchange.respond(
+        200, [(b'Id', b'o'), (b'Signed', b'1'), (b'Leaving', b'1')], b'x'
+    )
+
+
+def misdirected_and_leaving(target, exchange):
+    """Respond as another target, which says that it leaves."""
+    target.record_refusal()
+    exchange.respond(
+        421, [(b'Not-Run', b'1'), (b'Other', b'1'), (b'Leaving', b'1')], b''
+    )
+
+
 def reset_connection(target, exchange):
     """Run a request and reset the connection."""
     target.record_run(exchange)
@@ -293,7 +441,9 @@
         self.reactor = stack.enter_context(
             reactor_module.Reactor(_OffsetClock(self.clock))
         )
-        self.targets = [ScriptedTarget(script) for script in scripts]
+        self.targets = [
+            ScriptedTarget(script, self.reactor.now) for script in scripts
+        ]
         self.balancer = balancing.Balancer('a', random.Random(1))
         self.crash_news: list[crashes.CrashNews] = []
         self.forwarder = task.Forwarder(
