Start the program under test with the default action of SIGHUP

SIGHUP was ignored, but SIGTERM not yet caught.

Cause: the test, not the program. nohup ignores SIGHUP, and a process keeps ignored signals across exec. The test waits until the program ignores SIGHUP; under nohup that is true before the program has run a line. It then looks for a handler of SIGTERM that can't be there yet. test_reload_while_starting had the same gap: under nohup its signals could never have ended the program.

Ruled out: the program's order. It handles SIGTERM first and ignores SIGHUP after that, before any other module is imported.

Change: the fixture resets SIGHUP in the child before exec. What is checked stays as it was. Both tests now run also with SIGHUP ignored by the tests' own process, so that the gap can't come back unnoticed.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -31,9 +31,25 @@
 """
 
 
+@pytest.fixture(params=[signal.SIG_DFL, signal.SIG_IGN], ids=str)
+def outer_handler(request):
+    """Set how the tests' own process handles SIGHUP, as nohup does."""
+    previous_handler = signal.signal(signal.SIGHUP, request.param)
+    yield request.param
+    signal.signal(signal.SIGHUP, previous_handler)
+
+
+def _restore_hangup():
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 @pytest.fixture
-def process(tmp_path):
-    """Yield a starting entry instance without peers, and its log file."""
+def process(tmp_path, outer_handler):
+    """Yield a starting entry instance without peers, and its log file.
+
+    It starts with the default action of SIGHUP, since an ignored signal would
+    be inherited and look as if the program had ignored it itself.
+    """
     first = 12_000 + os.getpid() * 7 % 20_000
     path = tmp_path / 'settings.conf'
     path.write_text(SETTINGS.format(first=first, last=first + 15))
@@ -44,6 +60,7 @@
             stdout=output,
             stderr=output,
             env=os.environ | {'BAMBOORING_SETTINGS': str(path)},
+            preexec_fn=_restore_hangup,
         )
     yield handle, log
     handle.kill()
