Send the whole of a response before its connection is closed

What callers saw: in a planned stop a caller that read a long answer slowly got only a part of it. The connection was closed one second after the last part of the answer had been handed to it, sent or not; and an instance that closes its idle connections took one with unsent output for idle. A control replica closed those at once.

Cause: the time to linger began with the end of the response, not with that of its sending, and is_idle says only that no request is being handled.

Change: a closing connection lingers from the moment at which all is sent. close_idle passes over connections with unsent output, and bytes sent count as activity.

--- a/packages/core/src/bambooring_core/http1/server.py
+++ b/packages/core/src/bambooring_core/http1/server.py
@@ -125,6 +125,11 @@
         """Whether a request is being handled."""
         return self._exchange is not None
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Whether a part of a response is not sent yet."""
+        return bool(self._out_buffer)
+
     @property
     def is_congested(self) -> bool:
         """Whether too much output is waiting for the caller to read it."""
@@ -254,13 +259,20 @@
         self._refuse(errors.RequestError(408, 'head_timeout'))
 
     def _linger_and_close(self) -> None:
-        """Close the connection once the peer had time to read the response."""
+        """Close the connection once the peer had time to read the response.
+
+        That time begins when the whole response is sent.
+        """
         if not self.is_open:
             return
         self._is_lingering = True
+        if not self._out_buffer:
+            self._end_output()
+
+    def _end_output(self) -> None:
+        """Tell the peer that nothing follows, and close a while later."""
         with contextlib.suppress(OSError):
-            if not self._out_buffer:
-                self._socket.shutdown(socket.SHUT_WR)
+            self._socket.shutdown(socket.SHUT_WR)
         self._reactor.call_later(const.LINGER_S, self.close)
 
     def send_head(self, status: int, headers: messages.Headers) -> None:
@@ -308,7 +320,8 @@
 
     def _flush(self) -> None:
         was_congested = self.is_congested
-        if self._out_buffer:
+        had_output = self.has_unsent_output
+        if had_output:
             try:
                 sent = self._socket.send(self._out_buffer)
             except BlockingIOError:
@@ -317,14 +330,15 @@
                 self.close()
                 return
             del self._out_buffer[:sent]
+            if sent:
+                self.last_active_s = self._reactor.now()
         self._update_watch()
         exchange = self._exchange
         if was_congested and not self.is_congested and exchange is not None:
             if exchange.on_drained is not None:
                 exchange.on_drained()
-        if self._is_lingering and not self._out_buffer:
-            with contextlib.suppress(OSError):
-                self._socket.shutdown(socket.SHUT_WR)
+        if self._is_lingering and had_output and not self._out_buffer:
+            self._end_output()
 
     @property
     def _has_excess_input(self) -> bool:
@@ -444,16 +458,30 @@
         """Whether any connection is open."""
         return bool(self._connections)
 
+    @property
+    def has_unsent_output(self) -> bool:
+        """Whether a part of a response is not sent yet."""
+        return any(
+            connection.has_unsent_output for connection in self._connections
+        )
+
     def close_idle(self, idle_s: float = 0.0) -> None:
-        """Close the idle connections.
+        """Close the idle connections whose responses are sent.
 
         :param idle_s: the minimum time since their last activity, in seconds
         """
-        now = self.reactor.now()
-        for connection in list(self._connections):
-            if connection.is_idle and now - connection.last_active_s >= idle_s:
+        for connection in self._list_idle(idle_s):
+            if not connection.has_unsent_output:
                 connection.close()
 
+    def _list_idle(self, idle_s: float) -> list[Connection]:
+        now = self.reactor.now()
+        return [
+            connection
+            for connection in self._connections
+            if connection.is_idle and now - connection.last_active_s >= idle_s
+        ]
+
     def stop_accepting(self) -> bool:
         """Stop listening, unless a connection is open or waits in the backlog.
 
@@ -479,7 +507,9 @@
 
     def _sweep(self) -> None:
         now = self.reactor.now()
-        self.close_idle(self.limits.idle_timeout_s)
+        # A caller that reads nothing for so long is given up too.
+        for connection in self._list_idle(self.limits.idle_timeout_s):
+            connection.close()
         for connection in list(self._connections):
             reading_since_s = connection.reading_since_s
             if reading_since_s is None or connection.has_active_request:
