Refuse what a stopping entry instance can't finish before it ends

What callers saw: in a planned stop, requests that came seconds after the signal were passed on to targets. 0.7 s before the end of the grace they were broken off: streams lost their channel, others got 502 after having run, among them requests that may not be repeated.

Cause: a stopping instance accepts connections for as long as any is open, so new requests come until its end, and each was treated like any other. Only what still ran at the end was looked at, when it was too late to refuse it. Those read in the last 0.2 s were passed on too and cut at once.

Ruled out: the readiness answer (503 from the signal on) and the announcement of the close (each answer had it). Callers that are already connected, or whose machines are mostly out of rotation, come nevertheless.

Change: the forwarder knows when the instance stops. For 2.6 s, in which callers can't know of the stop, requests are taken as before, unless one and a half mean durations don't fit in what is left. After that one is passed on only if its own deadline comes before the end, so that it is always answered. The others are refused unrun at once: 503, Retry-After 0.05, Connection: close. Queued ones that become too late are told likewise; what has been sent to a target before goes on, also on retries. The last answers are sent whole, until 0.2 s before the process is killed.

--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -20,6 +20,10 @@
 # duration of its service's requests.
 MIN_TIME_LEFT_SHARE: typing.Final = 0.5
 
+# A stopping instance does not start a request with less time left than this
+# multiple of the mean duration of its service's requests.
+STOPPING_MIN_DURATIONS: typing.Final = 1.5
+
 # The longest time that a request waits for a free slot, as a multiple of the
 # mean duration of its service's requests.
 MAX_WAIT_DURATIONS: typing.Final = 1.5
@@ -80,6 +84,9 @@
 # to wait for this share of its remaining time, which leaves it time for a
 # response after the retry.
 OUTAGE_RETRY_AFTER_SHARE: typing.Final = 0.33
+# A request that a stopping instance refuses can be sent to another instance at
+# once.
+STOPPING_RETRY_AFTER_S: typing.Final = 0.05
 # While a model group is known to be broken, a request with more than this
 # share of its route's timeout left is told at once to retry later. With less
 # time left the caller will hardly retry, so the request waits for as long as
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -200,6 +200,36 @@
     return time_left_s > const.RETRY_LATER_TIME_SHARE * route.timeout_s
 
 
+def may_start_before_stop(
+    stop: messages.PlannedStop,
+    *,
+    admitted_s: float,
+    now_s: float,
+    deadline_s: float,
+    mean_duration_s: float,
+) -> bool:
+    """Return whether a stopping instance may send a request to a target.
+
+    A request that ends by its deadline before the instance does is always
+    answered. Another one might be cut off, so it is sent only if it came
+    before its caller could know of the stop and will probably be done.
+
+    :param stop: when the instance stops
+    :param admitted_s: when the whole request had been received
+    :param now_s: the current time in seconds
+    :param deadline_s: when the request times out
+    :param mean_duration_s: the mean duration of its service's requests
+    """
+    if now_s >= stop.end_s:
+        return False
+    if deadline_s <= stop.end_s:
+        return True
+    if admitted_s > stop.accept_until_s:
+        return False
+    needed_s = mean_duration_s * const.STOPPING_MIN_DURATIONS
+    return now_s + needed_s <= stop.end_s
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Progress:
     """What has been tried for a pending request.
--- a/packages/bambooring/src/bambooring/forwarding/messages.py
+++ b/packages/bambooring/src/bambooring/forwarding/messages.py
@@ -76,6 +76,19 @@
         return 200 <= self.status < 300
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PlannedStop:
+    """When a stopping instance does what, in the reactor's seconds.
+
+    Requests admitted until ``accept_until_s`` are served as usual, since their
+    callers can't know of the stop yet. At ``end_s`` the requests that still
+    run are ended.
+    """
+
+    accept_until_s: float
+    end_s: float
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ErrorResponse:
     """An error response that this instance generates itself.
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -61,6 +61,7 @@
         )
         self.tried_targets: set[str] = set()
         self.received_s = exchange.request.received_s
+        self.admitted_s = forwarder.reactor.now()
         self.deadline_s = self.received_s + decisions.get_total_timeout_s(
             request, self.route
         )
@@ -500,10 +501,11 @@
         if self._failed_attempt is not None:
             self._forward_failed_response(self._failed_attempt)
             return
+        retry_after_s = const.STOPPING_RETRY_AFTER_S
+        if reason is not const.Reason.STOPPING:
+            retry_after_s = self._forwarder.get_retry_after_s(self)
         error_response = decisions.build_final_error(
-            self.progress,
-            reason,
-            self._forwarder.get_retry_after_s(self),
+            self.progress, reason, retry_after_s
         )
         rejections.send_error(self._exchange, error_response)
         self._finish(error_response.reason, error_response.status)
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -72,6 +72,7 @@
         self._pending_requests: set[pending_request.PendingRequest] = set()
         self._queues: dict[str, list[pending_request.PendingRequest]] = {}
         self._poll_timer: reactor_module.Timer | None = None
+        self._planned_stop: messages.PlannedStop | None = None
 
     @property
     def pending_count(self) -> int:
@@ -152,6 +153,9 @@
 
         :param pending: the request
         """
+        if not self._may_start(pending):
+            pending.give_up(const.Reason.STOPPING)
+            return
         verdict = pending.suspicion.judge()
         if verdict.is_forbidden:
             pending.give_up(const.Reason.SUSPECT)
@@ -194,6 +198,21 @@
         self.report_load()
         self._schedule_poll()
 
+    def _may_start(self, pending: pending_request.PendingRequest) -> bool:
+        """Return whether a planned stop leaves time to start a request.
+
+        One that has been sent to a target before may go on.
+        """
+        if self._planned_stop is None or pending.progress.attempt_count:
+            return True
+        return decisions.may_start_before_stop(
+            self._planned_stop,
+            admitted_s=pending.admitted_s,
+            now_s=self.reactor.now(),
+            deadline_s=pending.deadline_s,
+            mean_duration_s=self.balancer.get_mean_duration_s(pending.service),
+        )
+
     def _get_reject_reason(self, service: str, now_s: float) -> const.Reason:
         if not self.balancer.get_capacity(service, now_s).usable_target_count:
             return const.Reason.NO_TARGET
@@ -261,9 +280,14 @@
     def _give_up_overdue(
         self, queue: list[pending_request.PendingRequest], now_s: float
     ) -> None:
-        """Give up requests that have waited as long as their callers do."""
+        """Give up requests that have waited as long as their callers do.
+
+        Also give up those that can't be started before a planned stop.
+        """
         for pending in list(queue):
-            if now_s >= pending.queue_deadline_s:
+            if not self._may_start(pending):
+                pending.give_up(const.Reason.STOPPING)
+            elif now_s >= pending.queue_deadline_s:
                 pending.give_up(
                     self._get_reject_reason(pending.service, now_s)
                 )
@@ -381,6 +405,11 @@
         for pending in list(self._pending_requests):
             pending.rejudge()
 
+    def plan_stop(self, planned_stop: messages.PlannedStop) -> None:
+        """Refuse from now on what can't be done before the process stops."""
+        self._planned_stop = planned_stop
+        self.dispatch_queued()
+
     def stop_all(self) -> None:
         """End every pending request, because the process stops."""
         for pending in list(self._pending_requests):
--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -43,6 +43,9 @@
 # stopped.
 STOP_RESERVE_S: typing.Final = 0.7
 
+# A stopping process ends at the latest this long before it is killed.
+STOP_KILL_MARGIN_S: typing.Final = 0.2
+
 # Share of the permitted retries that all entry instances together may use.
 # It is below 1 because each instance counts its retries by itself.
 RETRY_BUDGET_SHARE: typing.Final = 0.5
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -11,6 +11,7 @@
 from bambooring.crashes import messages as crashes
 from bambooring.crashes import task as crashes_task
 from bambooring.forwarding import dialect as dialect_module
+from bambooring.forwarding import messages as forwarding_messages
 from bambooring.forwarding import task as forwarding
 from bambooring.gateway import const
 from bambooring.gateway import messages as gateway
@@ -116,6 +117,7 @@
         self._peer_domains: dict[str, str] = {}
         self._logged_limits: dict[str, float] = {}
         self._is_stopping = False
+        self._finish_by_s = 0.0
         self._was_ready = False
         self._set_retry_budget(1)
         self._caller_server = self._make_server(
@@ -461,13 +463,22 @@
             return
         self._is_stopping = True
         self._caller_server.is_closing = True
+        now_s = self._reactor.now()
+        running_s = self._settings.stop_s - const.STOP_RESERVE_S
+        self._finish_by_s = (
+            now_s + self._settings.stop_s - const.STOP_KILL_MARGIN_S
+        )
         LOG.info('stopping', running=self.forwarder.pending_count)
-        self._reactor.call_later(
-            const.STOP_ACCEPT_S, lambda: self._stop_when_closed()
+        self.forwarder.plan_stop(
+            forwarding_messages.PlannedStop(
+                accept_until_s=now_s + const.STOP_ACCEPT_S,
+                end_s=now_s + running_s,
+            )
         )
         self._reactor.call_later(
-            self._settings.stop_s - const.STOP_RESERVE_S, self._stop_now
+            const.STOP_ACCEPT_S, lambda: self._stop_when_closed()
         )
+        self._reactor.call_later(running_s, self._stop_now)
 
     def _stop_when_closed(self) -> None:
         self._caller_server.close_idle(const.STOP_IDLE_TIMEOUT_S)
@@ -481,13 +492,19 @@
     def _stop_now(self) -> None:
         """Answer the requests that still run, then end.
 
-        Requests that arrive until then are answered too.
+        Requests that arrive until then are refused.
         """
         self.forwarder.stop_all()
         self._reactor.call_later(const.STOP_LINGER_S, self._finish)
 
     def _finish(self) -> None:
-        self.forwarder.stop_all()
+        """End once all responses are sent, or shortly before being killed."""
+        if (
+            self._caller_server.has_unsent_output
+            and self._reactor.now() < self._finish_by_s
+        ):
+            self._reactor.call_later(const.STOP_LINGER_S, self._finish)
+            return
         self._reactor.finish()
 
 
