Answer every call that a stopping control replica has read

What callers saw: operators and targets that called a control replica in its planned stop could find their channel closed without an answer, if calls kept coming and a majority was out of reach.

Cause: the replica ended two seconds after its leadership had time to move, whether or not the calls it had read were answered. A change waits for up to three seconds, a read for two.

Change: after the two seconds the replica refuses new calls with 503 and ends once those before are answered, at the latest 0.2 s before it would be killed. With a short time to stop it refuses earlier.

Evidence: test_stopping_replica_answers_calls_until_its_end sends a call each 20 ms until the replica has ended. Before, with the other replicas cut off, some calls that had been read got nothing (b''); with a majority none was lost. Now all are answered 200 or 503, and the stop takes less than 8 s. 18 tests of test_end_to_end.py pass.

--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -54,7 +54,8 @@
 # them before their connections are closed.
 STOP_LINGER_S: typing.Final = 0.2
 
-# A stopping control replica waits this long for the calls that it has read.
+# A stopping control replica takes calls for this long if they keep coming. It
+# refuses the later ones and ends once the earlier ones are answered.
 STOP_CALLS_TIMEOUT_S: typing.Final = 2.0
 STOP_CALLS_INTERVAL_S: typing.Final = 0.02
 
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -122,6 +122,8 @@
         )
         self._topology: targets.Topology | None = None
         self._server: http1_server.Server | None = None
+        self._refuse_calls_from_s = float('inf')
+        self._finish_by_s = float('inf')
 
     def run(self) -> None:
         """Run until stopped."""
@@ -163,25 +165,48 @@
             self._hub.keep_connected(address)
 
     def _leave(self) -> None:
+        if self._is_stopping:
+            return
         if self._server is not None:
             self._server.is_closing = True
+        self._finish_by_s = (
+            self._reactor.now()
+            + self._settings.stop_s
+            - const.STOP_KILL_MARGIN_S
+        )
         super()._leave()
 
     def _end(self) -> None:
         """End once the calls that have been read are answered."""
-        self._end_by(self._reactor.now() + const.STOP_CALLS_TIMEOUT_S)
+        self._refuse_calls_from_s = min(
+            self._reactor.now() + const.STOP_CALLS_TIMEOUT_S,
+            self._finish_by_s - const.PUBLISH_TIMEOUT_S,
+        )
+        self._end_when_answered()
 
-    def _end_by(self, deadline_s: float) -> None:
-        if self._server is not None:
-            self._server.close_idle()
-            is_done = self._server.stop_accepting()
-            if not is_done and self._reactor.now() < deadline_s:
-                self._reactor.call_later(
-                    const.STOP_CALLS_INTERVAL_S,
-                    functools.partial(self._end_by, deadline_s),
-                )
-                return
-        self._reactor.finish()
+    def _end_when_answered(self) -> None:
+        is_over = self._reactor.now() >= self._finish_by_s
+        if is_over or self._server is None or self._is_answered(self._server):
+            self._reactor.finish()
+            return
+        self._reactor.call_later(
+            const.STOP_CALLS_INTERVAL_S, self._end_when_answered
+        )
+
+    def _is_answered(self, server: http1_server.Server) -> bool:
+        """Return whether all calls are answered, so that the process may end.
+
+        While calls are still taken, also none may wait in the backlog.
+        """
+        server.close_idle()
+        if not self._is_refusing_calls:
+            return server.stop_accepting()
+        return not server.active_request_count and not server.has_unsent_output
+
+    @property
+    def _is_refusing_calls(self) -> bool:
+        """Whether calls are refused, so that those read before can end."""
+        return self._reactor.now() >= self._refuse_calls_from_s
 
     def _get_control_links(self) -> list[links.Link]:
         """Return the links to other replicas that this one dialled."""
@@ -370,6 +395,10 @@
 
     def _handle_call(self, exchange: http1_server.Exchange) -> None:
         """Handle a call of an operator or a target."""
+        if self._is_refusing_calls:
+            LOG.info('call refused: stopping')
+            _respond(exchange, 503, 'stopping')
+            return
         try:
             call = self._dialect.read_control_call(exchange.request)
         except policy_errors.PolicyError as error:
