Replay the log from the start with the times of the log

Claims of bookings got a later end than at the other replicas, so the state that must be the same at all was not.

Processes that start anew begin at 0.

Change: restore() begins at 0.

Evidence: test_replay.py applies two claims, one after the end of the other, restores the empty state and applies them again: before, the saved states differed; now they are equal. No caller of the platform claims bookings, so nothing of this could be seen there.

--- a/packages/bambooring/src/bambooring/state_machine.py
+++ b/packages/bambooring/src/bambooring/state_machine.py
@@ -70,6 +70,7 @@
         self.claims = bookings_state.ClaimStore()
         self.switches = experts_state.SwitchStore()
         self.policy = policy_state.PolicyStore()
+        self._time = 0.0
         offset = 0
         while offset < len(data):
             (size,) = _SIZE_PREFIX.unpack_from(data, offset)
