Treat every error of the disk as one that may pass

Seen while reading how a replica meets a full disk: two errors passed by the place that stops a replica until its disk works again, and ended the process: a folder whose sync was refused after the first record of a new log, and a file that can't be read.

Cause: only the writes themselves were inside the blocks that turn OSError into StorageError.

Change: one context manager for all four operations.

Evidence: test_every_failure_of_the_disk_is_a_storage_error failed before with the bare OSError in both cases.

--- a/packages/bambooring/src/bambooring/replication/storage.py
+++ b/packages/bambooring/src/bambooring/replication/storage.py
@@ -43,6 +43,15 @@
         """Truncate a file to a size in bytes and sync it."""
 
 
+@contextlib.contextmanager
+def _turn_errors(path: pathlib.Path) -> collections.abc.Iterator[None]:
+    """Turn an error of the file system into one of this layer."""
+    try:
+        yield
+    except OSError as error:
+        raise errors.StorageError(f'{path}: {error}') from error
+
+
 class FolderDisk:
     """Files in one folder of the file system."""
 
@@ -51,35 +60,38 @@
 
     def read(self, name: str) -> bytes | None:
         """Return the content of a file, or None if there is no file."""
-        try:
-            return (self._folder / name).read_bytes()
-        except FileNotFoundError:
-            return None
+        path = self._folder / name
+        with _turn_errors(path):
+            try:
+                return path.read_bytes()
+            except FileNotFoundError:
+                return None
 
     def append(self, name: str, data: bytes) -> None:
         """Append bytes to a file and sync it."""
         path = self._folder / name
-        is_new = not path.exists()
-        size_before = 0 if is_new else path.stat().st_size
-        try:
-            with path.open('ab') as file:
-                file.write(data)
-                file.flush()
-                os.fdatasync(file.fileno())
-        except OSError as error:
-            # Remove what was written of it, so that the next record doesn't
-            # follow a torn one.
-            with contextlib.suppress(OSError):
-                os.truncate(path, size_before)
-            raise errors.StorageError(f'{path}: {error}') from error
-        if is_new:
-            self._sync_folder()
+        with _turn_errors(path):
+            is_new = not path.exists()
+            size_before = 0 if is_new else path.stat().st_size
+            try:
+                with path.open('ab') as file:
+                    file.write(data)
+                    file.flush()
+                    os.fdatasync(file.fileno())
+            except OSError:
+                # Remove what was written of it, so that the next record
+                # doesn't follow a torn one.
+                with contextlib.suppress(OSError):
+                    os.truncate(path, size_before)
+                raise
+            if is_new:
+                self._sync_folder()
 
     def replace(self, name: str, data: bytes) -> None:
         """Replace a file atomically and sync it."""
         path = self._folder / name
         temporary_path = path.with_suffix('.new')
-        try:
+        with _turn_errors(path):
             self._folder.mkdir(parents=True, exist_ok=True)
             with temporary_path.open('wb') as file:
                 file.write(data)
@@ -87,18 +99,13 @@
                 os.fsync(file.fileno())
             temporary_path.rename(path)
             self._sync_folder()
-        except OSError as error:
-            raise errors.StorageError(f'{path}: {error}') from error
 
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes and sync it."""
         path = self._folder / name
-        try:
-            with path.open('r+b') as file:
-                file.truncate(size)
-                os.fsync(file.fileno())
-        except OSError as error:
-            raise errors.StorageError(f'{path}: {error}') from error
+        with _turn_errors(path), path.open('r+b') as file:
+            file.truncate(size)
+            os.fsync(file.fileno())
 
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
--- a/packages/bambooring/src/bambooring/replication/tests/test_storage.py
+++ b/packages/bambooring/src/bambooring/replication/tests/test_storage.py
@@ -1,6 +1,10 @@
 """Test that a torn write is repaired and that corruption is detected."""
 
+import errno
+import os
+import pathlib
 import random
+import stat
 
 import pytest
 
@@ -83,6 +87,35 @@
         _load(disk)
 
 
+def _fail_to_sync_folders(descriptor):
+    if stat.S_ISDIR(os.fstat(descriptor).st_mode):
+        raise OSError(errno.ENOSPC, 'full')
+
+
+def _fail_to_read(path):
+    raise OSError(errno.EIO, 'unreadable')
+
+
+# A disk that refused to sync the folder, or to be read, ended the process.
+@pytest.mark.parametrize(
+    ('module', 'name', 'fail'),
+    [
+        (os, 'fsync', _fail_to_sync_folders),
+        (pathlib.Path, 'read_bytes', _fail_to_read),
+    ],
+)
+def test_every_failure_of_the_disk_is_a_storage_error(
+    tmp_path, monkeypatch, module, name, fail
+):
+    """The replica stops for each of them until its disk works again."""
+    written = storage.Storage(storage.FolderDisk(tmp_path))
+    written.load()
+    monkeypatch.setattr(module, name, fail)
+    with pytest.raises(errors.StorageError):
+        written.append_batch(_make_batch(1))
+        written.load()
+
+
 def test_files_in_a_folder_are_reloaded(tmp_path):
     """What was written is read again, with the same replica id."""
     folder = tmp_path / 'data'
