--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -73,6 +73,7 @@
         self._pending_requests: set[pending_request.PendingRequest] = set()
         self._queues: dict[str, list[pending_request.PendingRequest]] = {}
         self._poll_timer: reactor_module.Timer | None = None
+        self._planned_stop: messages.PlannedStop | None = None
 
     @property
     def pending_count(self) -> int:
@@ -153,6 +154,9 @@
 
         :param pending: the request
         """
+        if not self._may_start(pending):
+            pending.give_up(const.Reason.STOPPING)
+            return
         verdict = pending.suspicion.judge()
         if verdict.is_forbidden:
             pending.give_up(const.Reason.SUSPECT)
@@ -207,6 +211,21 @@
         self.report_load()
         self._schedule_poll()
 
+    def _may_start(self, pending: pending_request.PendingRequest) -> bool:
+        """Return whether a planned stop leaves time to start a request.
+
+        One that may have run goes on: its caller can't be told to retry.
+        """
+        if self._planned_stop is None or not pending.progress.may_be_refused:
+            return True
+        return decisions.may_start_before_stop(
+            self._planned_stop,
+            admitted_s=pending.admitted_s,
+            now_s=self.reactor.now(),
+            deadline_s=pending.deadline_s,
+            mean_duration_s=self.balancer.get_mean_duration_s(pending.service),
+        )
+
     def _get_rest_wait_s(
         self, pending: pending_request.PendingRequest
     ) -> float | None:
@@ -353,18 +372,26 @@
     ) -> None:
         """Give up requests that have waited as long as their callers do.
 
-        Those whose targets will all rest until then are told so at once.
+        So are those that can't be started before a planned stop, and those
+        whose targets will all rest for longer.
         """
         for pending in list(queue):
-            if now_s >= pending.queue_deadline_s:
-                pending.give_up(self._get_reject_reason(pending, now_s))
-                continue
-            wait_s = self._get_rest_wait_s(pending)
-            if (
-                wait_s is not None
-                and now_s + wait_s > pending.queue_deadline_s
-            ):
-                pending.give_up(const.Reason.TARGETS_REST)
+            reason = self._get_give_up_reason(pending, now_s)
+            if reason is not None:
+                pending.give_up(reason)
+
+    def _get_give_up_reason(
+        self, pending: pending_request.PendingRequest, now_s: float
+    ) -> const.Reason | None:
+        """Return why a queued request is given up now, None if it isn't."""
+        if not self._may_start(pending):
+            return const.Reason.STOPPING
+        if now_s >= pending.queue_deadline_s:
+            return self._get_reject_reason(pending, now_s)
+        wait_s = self._get_rest_wait_s(pending)
+        if wait_s is not None and now_s + wait_s > pending.queue_deadline_s:
+            return const.Reason.TARGETS_REST
+        return None
 
     def _dispatch_first(
         self, queue: list[pending_request.PendingRequest]
@@ -487,6 +514,11 @@
         for pending in list(self._pending_requests):
             pending.rejudge()
 
+    def plan_stop(self, planned_stop: messages.PlannedStop) -> None:
+        """Refuse from now on what can't be done before the process stops."""
+        self._planned_stop = planned_stop
+        self.dispatch_queued()
+
     def stop_all(self) -> None:
         """End every pending request, because the process stops."""
         for pending in list(self._pending_requests):
--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -43,6 +43,9 @@
 # stopped.
 STOP_RESERVE_S: typing.Final = 0.7
 
+# A stopping process ends at the latest this long before it is killed.
+STOP_KILL_MARGIN_S: typing.Final = 0.2
+
 # Share of the permitted retries that all entry instances together may use.
 # It is below 1 because each instance counts its retries by itself.
 RETRY_BUDGET_SHARE: typing.Final = 0.5
@@ -51,7 +54,8 @@
 # them before their connections are closed.
 STOP_LINGER_S: typing.Final = 0.2
 
-# A stopping control replica waits this long for the calls that it has read.
+# A stopping control replica takes calls for this long if they keep coming. It
+# refuses the later ones and ends once the earlier ones are answered.
 STOP_CALLS_TIMEOUT_S: typing.Final = 2.0
 STOP_CALLS_INTERVAL_S: typing.Final = 0.02
 
