Refuse numbers without room in callers' heads

What callers saw: a request with Deadline-Ms or Last-Event-Id of thousands of digits, a Deadline-Ms of 320 digits or a Token-Usage of 320 ended the entry instance with all requests that it held. No key is needed for it.

Cause: the decoder took any run of digits as a number. int() refuses more than 4,300 digits (ValueError), 320 digits don't fit a float (OverflowError) and more than 32 bits don't fit the load report; nothing above the decoder expects these errors, so they ended the loop.

Ruled out: superscript digits. The fields are bytes, and bytes.isdigit() knows only ASCII digits.

Change: bambooring_core/bounds.py says which numbers are accepted.

--- /dev/null
+++ b/packages/core/src/bambooring_core/bounds.py
@@ -0,0 +1,50 @@
+"""Define which numbers and texts from outside are accepted.
+
+What callers, targets and operators send ends up in arithmetic, in messages
+with fields of fixed width and in headers. Each of these raises an error on
+values that it has no room for, so decoders check them by this module first.
+"""
+
+import typing
+
+# The widths of unsigned fields in messages.
+SHORT_BITS: typing.Final = 16
+INTEGER_BITS: typing.Final = 32
+LONG_BITS: typing.Final = 64
+
+# As many as the highest number of 64 bits has.
+MAX_DIGITS: typing.Final = 20
+
+# The highest integer that JSON readers with double precision know exactly.
+MAX_NUMBER: typing.Final = 2**53 - 1
+MAX_DURATION_MS: typing.Final = MAX_NUMBER
+
+
+def is_count(value: typing.Any, bits: int) -> typing.TypeGuard[int]:
+    """Return whether a value is an unsigned integer of a number of bits."""
+    if not isinstance(value, int) or isinstance(value, bool):
+        return False
+    return 0 <= value < 1 << bits
+
+
+def parse_count(text: bytes, bits: int) -> int | None:
+    """Decode an unsigned integer in decimal digits.
+
+    :param text: the digits
+    :param bits: the width of the integer
+    :returns: None if the text is no such integer
+    """
+    if len(text) > MAX_DIGITS or not text.isdigit():
+        return None
+    value = int(text)
+    return value if is_count(value, bits) else None
+
+
+def is_number(
+    value: typing.Any, maximum: float = MAX_NUMBER
+) -> typing.TypeGuard[float]:
+    """Return whether a value is a number from 0 to a maximum."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    # The comparison is false for NaN.
+    return 0 <= value <= maximum
