Report no more tokens of a target than have room

What callers saw: two running requests at one target whose Token-Usage each fits 32 bits ended the entry instance when it next reported its load; the sum over the instances of a failure domain could end its relay in the same way.

Cause: each size is in range, their sum isn't, and the field of the report has 32 bits.

Change: reports and summaries have the highest number with room instead. The tokens only break ties between targets. Counts of running and waiting requests are the instances' own and can't get there.

Evidence: the two new tests failed before with KjException "Value out-of-range for requested type; value =". The tests of balancing/ and loads/ pass.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -20,6 +20,7 @@
 from bambooring.loads import peers as peers_module
 from bambooring.loads import state as loads_state
 from bambooring.targets import messages as targets
+from bambooring_core import bounds
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -449,7 +450,9 @@
             sequence=self._report_sequence,
             targets=[
                 targets.TargetLoad(
-                    target=target_id, running=load.running, tokens=load.tokens
+                    target=target_id,
+                    running=load.running,
+                    tokens=bounds.clip_count(load.tokens, bounds.INTEGER_BITS),
                 )
                 for target_id, load in self._own_loads.items()
             ],
--- a/packages/bambooring/src/bambooring/balancing/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_state.py
@@ -9,6 +9,8 @@
 from bambooring.balancing import state
 from bambooring.loads import const as loads_const
 from bambooring.targets import messages
+from bambooring_core import bounds
+from bambooring_core import datagrams
 
 
 def _make_target(id, slots=6, domain='a'):
@@ -71,6 +73,18 @@
     assert balancer.count_running('1') == 0
 
 
+# Sizes that each have room ended the entry instance as their sum had none.
+def test_sum_of_huge_prompts_has_room_in_reports():
+    """The tokens at a target are reported as the most that has room."""
+    balancer = _make_balancer(1)
+    highest = 2**bounds.INTEGER_BITS - 1
+    for _ in range(2):
+        balancer.add_request('1', highest)
+    report = balancer.make_load_report('other', 7, {})
+    datagram = datagrams.seal(b'key', report)
+    assert datagrams.unseal(b'key', datagram).targets[0].tokens == highest
+
+
 def test_report_of_restarted_instance():
     """A later incarnation's report wins although its sequence starts anew."""
     balancer = _make_balancer(2)
--- a/packages/bambooring/src/bambooring/loads/summaries.py
+++ b/packages/bambooring/src/bambooring/loads/summaries.py
@@ -12,6 +12,7 @@
 from bambooring.loads import const
 from bambooring.loads import messages
 from bambooring.loads import peers
+from bambooring_core import bounds
 
 # The running requests of a target and their tokens.
 Load = tuple[int, int]
@@ -87,7 +88,10 @@
             age_ms=round(age_s * 1000),
             target_keys=keys,
             running=[running for running, _ in rows],
-            tokens=[tokens for _, tokens in rows],
+            tokens=[
+                bounds.clip_count(tokens, bounds.INTEGER_BITS)
+                for _, tokens in rows
+            ],
             services=services,
         )
 
--- a/packages/bambooring/src/bambooring/loads/tests/test_exchange.py
+++ b/packages/bambooring/src/bambooring/loads/tests/test_exchange.py
@@ -11,8 +11,12 @@
 import pytest
 
 from bambooring.loads import const
+from bambooring.loads import state
+from bambooring.loads import summaries
 from bambooring.loads.tests import fleet as fleet_module
 from bambooring.targets import messages as targets
+from bambooring_core import bounds
+from bambooring_core import datagrams
 
 # Two intervals, the time until the next tick, and the way of a datagram
 # through the sending and the receiving domain.
@@ -292,3 +296,28 @@
     fleet.loss = 0.0
     fleet.run(const.PEER_LOAD_TTL_S + 2.5)
     _assert_all_known(fleet)
+
+
+# Reports that each have room ended the relay as their sum had none.
+def test_sum_of_huge_prompts_has_room_in_summary():
+    """A summary has the most tokens that have room where a sum is higher."""
+    highest = 2**bounds.INTEGER_BITS - 1
+    own, peer = (
+        targets.Load(
+            sender=sender,
+            incarnation=1,
+            sequence=1,
+            targets=[
+                targets.TargetLoad(target='i-1', running=1, tokens=highest)
+            ],
+            services=[],
+        )
+        for sender in ('own', 'peer')
+    )
+    loads = state.ClusterLoads()
+    loads.add_report(peer, 0.0)
+    rows, totals = loads.sum_domain(own, 0.0)
+    writer = summaries.SummaryWriter('a', 'own', 1)
+    datagram = datagrams.seal(b'key', writer.write(rows, totals, 0.0))
+    summary = datagrams.unseal(b'key', datagram)
+    assert (summary.running, summary.tokens) == ([2], [highest])
--- a/packages/core/src/bambooring_core/bounds.py
+++ b/packages/core/src/bambooring_core/bounds.py
@@ -40,6 +40,14 @@
     return value if is_count(value, bits) else None
 
 
+def clip_count(value: int, bits: int) -> int:
+    """Return a count, or the highest of a number of bits if it is higher.
+
+    For sums of counts from outside, each of which is in range.
+    """
+    return min(value, (1 << bits) - 1)
+
+
 def is_number(
     value: typing.Any, maximum: float = MAX_NUMBER
 ) -> typing.TypeGuard[float]:
