--- a/packages/core/src/bambooring_core/bounds.py
+++ b/packages/core/src/bambooring_core/bounds.py
@@ -11,6 +11,9 @@
 SHORT_BITS: typing.Final = 16
 INTEGER_BITS: typing.Final = 32
 LONG_BITS: typing.Final = 64
+# Milliseconds since 1970, until the year 2248. No clock is needed to refuse
+# later ones.
+TIME_BITS: typing.Final = 43
 
 # As many as the highest number of 64 bits has.
 MAX_DIGITS: typing.Final = 20
@@ -19,6 +22,9 @@
 MAX_NUMBER: typing.Final = 2**53 - 1
 MAX_DURATION_MS: typing.Final = MAX_NUMBER
 
+# Names and keys are far shorter.
+MAX_TEXT_LENGTH: typing.Final = 1024
+
 
 def is_count(value: typing.Any, bits: int) -> typing.TypeGuard[int]:
     """Return whether a value is an unsigned integer of a number of bits."""
@@ -56,3 +62,13 @@
         return False
     # The comparison is false for NaN.
     return 0 <= value <= maximum
+
+
+def is_text(value: typing.Any) -> typing.TypeGuard[str]:
+    """Return whether a value is a text that is not empty or too long.
+
+    JSON can escape half of a surrogate pair, which has no UTF-8 encoding.
+    """
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_LENGTH:
+        return False
+    return not any('\ud800' <= character <= '\udfff' for character in value)
--- a/packages/core/src/bambooring_core/tests/test_bounds.py
+++ b/packages/core/src/bambooring_core/tests/test_bounds.py
@@ -40,3 +40,22 @@
 def test_no_number(value):
     """What can't be calculated with is no number."""
     assert not bounds.is_number(value, 2)
+
+
+@pytest.mark.parametrize(
+    ('value', 'is_accepted'),
+    [
+        ('a', True),
+        ('\u00e9\U0001f600', True),
+        ('a' * bounds.MAX_TEXT_LENGTH, True),
+        ('a' * (bounds.MAX_TEXT_LENGTH + 1), False),
+        ('', False),
+        ('a\ud800', False),
+        ('\udfff', False),
+        (b'a', False),
+        (None, False),
+    ],
+)
+def test_text(value, is_accepted):
+    """A text is accepted if it has an encoding and isn't too long."""
+    assert bounds.is_text(value) is is_accepted
