Refuse configurations that can't be calculated with

What callers saw: a configuration with a version of 2^64 or 10^30 or a time of 10^400 ms ended the control replica that took it. Others were acknowledged and ended the instances that used them: weights and priorities of 10^400, names with half of a surrogate pair, a client account whose name no header can have, an expert's size or a link's speed whose quotient is 0 or infinite. A document nested 971 to 990 levels deep was valid on one stack and not 20 calls deeper, so that what a replica acknowledged the entry instances refused.

Cause: types were checked, ranges were not, and the depth was limited only by the stack of whoever decoded.

--- a/packages/core/src/bambooring_core/bounds.py
+++ b/packages/core/src/bambooring_core/bounds.py
@@ -5,6 +5,7 @@
 values that it has no room for, so decoders check them by this module first.
 """
 
+import collections.abc
 import typing
 
 # The widths of unsigned fields in messages.
@@ -22,8 +23,14 @@
 MAX_NUMBER: typing.Final = 2**53 - 1
 MAX_DURATION_MS: typing.Final = MAX_NUMBER
 
-# Names and keys are far shorter.
+# Names are far shorter.
 MAX_TEXT_LENGTH: typing.Final = 1024
+# For texts that callers send in a request's head.
+MAX_HEAD_TEXT_LENGTH: typing.Final = 65536
+
+# Documents are decoded by several instances, whose stacks are not equally
+# deep. None of them may run out of stack on what another one accepted.
+MAX_DEPTH: typing.Final = 64
 
 
 def is_count(value: typing.Any, bits: int) -> typing.TypeGuard[int]:
@@ -64,11 +71,37 @@
     return 0 <= value <= maximum
 
 
-def is_text(value: typing.Any) -> typing.TypeGuard[str]:
+def is_text(
+    value: typing.Any, max_length: int = MAX_TEXT_LENGTH
+) -> typing.TypeGuard[str]:
     """Return whether a value is a text that is not empty or too long.
 
     JSON can escape half of a surrogate pair, which has no UTF-8 encoding.
     """
-    if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_LENGTH:
+    if not isinstance(value, str) or not 0 < len(value) <= max_length:
         return False
     return not any('\ud800' <= character <= '\udfff' for character in value)
+
+
+def is_header_text(value: str) -> bool:
+    """Return whether a text can be sent as the value of a header."""
+    if value != value.strip(' \t'):
+        return False
+    return not any(
+        (character < ' ' and character != '\t') or character == '\x7f'
+        for character in value
+    )
+
+
+def is_nested_deeper(value: typing.Any, depth: int = MAX_DEPTH) -> bool:
+    """Return whether decoded JSON is nested more deeply than a limit."""
+    level = [value]
+    for _ in range(depth + 1):
+        level = [item for parent in level for item in _list_items(parent)]
+    return bool(level)
+
+
+def _list_items(value: typing.Any) -> collections.abc.Collection[typing.Any]:
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
--- a/packages/core/src/bambooring_core/tests/test_bounds.py
+++ b/packages/core/src/bambooring_core/tests/test_bounds.py
@@ -1,5 +1,8 @@
 """Test which numbers from outside are accepted."""
 
+import typing
+
+import h11
 import pytest
 
 from bambooring_core import bounds
@@ -59,3 +62,30 @@
 def test_text(value, is_accepted):
     """A text is accepted if it has an encoding and isn't too long."""
     assert bounds.is_text(value) is is_accepted
+
+
+def _can_send(text):
+    headers = [(b'Host', b'x'), (b'X', text.encode())]
+    try:
+        h11.Request(method='GET', target='/', headers=headers)
+    except h11.LocalProtocolError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize('form', ['{}', '{}b', 'a{}', 'a{}b'])
+def test_header_text(form):
+    """The HTTP library sends every text that is accepted as a header."""
+    texts = [form.format(chr(number)) for number in range(1, 0x400)]
+    accepted = [text for text in texts if bounds.is_header_text(text)]
+    assert len(accepted) > 900
+    assert all(_can_send(text) for text in accepted)
+
+
+def test_depth():
+    """Only nesting counts, not the number of values."""
+    value: typing.Any = 1
+    for _ in range(5):
+        value = {'a': [1, 2], 'b': [value]}
+    assert not bounds.is_nested_deeper(value, 10)
+    assert bounds.is_nested_deeper(value, 9)
