Plan without engines whose policy can't be read

What callers saw: nothing yet. Since decoding got stricter, a document that an earlier release has accepted may be unreadable; the entry instances log that and keep what they had, but the leading control replica would end over it each time it looks for a group's engines.

Change: the error is logged once for the version, and the group gets no new expert maps, as one without experts.

Evidence: the new test failed before with PolicyError; it and the other tests in test_end_to_end.py pass.

--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -354,20 +354,32 @@
         newest = self._state_machine.policy.newest
         if newest.version != self._engine_specs_version:
             self._engine_specs_version = newest.version
-            document = policy_state.decompress(newest.document)
-            decoded = self._dialect.read_policy(document)
-            self._engine_specs = {
-                service.name: rebalancer_types.EngineSpec(
-                    slots_per_rank=service.experts.slots_per_rank,
-                    spare_slots=service.experts.spare_slots,
-                    expert_share=service.experts.expert_share,
-                    copy_s=service.experts.copy_s,
-                )
-                for service in decoded.services
-                if service.experts is not None
-            }
+            self._engine_specs = self._read_engine_specs(newest)
         return self._engine_specs.get(service_name)
 
+    def _read_engine_specs(
+        self, document: policy.Document
+    ) -> dict[str, rebalancer_types.EngineSpec]:
+        text = policy_state.decompress(document.document)
+        try:
+            decoded = self._dialect.read_policy(text)
+        except policy_errors.PolicyError as error:
+            # It may have been accepted by an earlier release.
+            LOG.error(
+                'policy unreadable', version=document.version, error=str(error)
+            )
+            return {}
+        return {
+            service.name: rebalancer_types.EngineSpec(
+                slots_per_rank=service.experts.slots_per_rank,
+                spare_slots=service.experts.spare_slots,
+                expert_share=service.experts.expert_share,
+                copy_s=service.experts.copy_s,
+            )
+            for service in decoded.services
+            if service.experts is not None
+        }
+
     def _handle_call(self, exchange: http1_server.Exchange) -> None:
         """Handle a call of an operator or a target."""
         try:
