List targets though the newest at an address is forgotten

What callers saw: an entry instance could end once a run at an address had been silent for 120 s while an older run at the same address was still reported alive by some replica; seen in a test, not in operation.

Cause: the record of the newest run takes the note of the newest run at its address with it. Whether the older record is usable was looked up in that note (KeyError).

Change: the note goes to the newest run that is left, which is usable again; a missing note means not usable.

Evidence: the new test failed before with KeyError '10.0.0.1:80'.

--- a/packages/bambooring/src/bambooring/targets/state.py
+++ b/packages/bambooring/src/bambooring/targets/state.py
@@ -91,7 +91,7 @@
         return (
             not record.is_expired
             and target.state is messages.State.READY
-            and self._newest_runs[target.address]
+            and self._newest_runs.get(target.address)
             == (target.born_ms, target.id)
         )
 
@@ -166,11 +166,19 @@
 
     def _remove(self, target_id: str, target: messages.Target) -> None:
         del self._records[target_id]
-        if self._newest_runs.get(target.address) == (
-            target.born_ms,
-            target_id,
-        ):
-            del self._newest_runs[target.address]
+        self._update_newest_run(target.address)
+
+    def _update_newest_run(self, address: str) -> None:
+        """Find the newest run at an address after one has left it."""
+        runs = [
+            (record.target.born_ms, record.target.id)
+            for record in self._records.values()
+            if record.target.address == address
+        ]
+        if runs:
+            self._newest_runs[address] = max(runs)
+        else:
+            self._newest_runs.pop(address, None)
 
     def renew_all(self, now_s: float) -> None:
         """Restart the heartbeat timeout of all targets.
--- a/packages/bambooring/src/bambooring/targets/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/targets/tests/test_state.py
@@ -125,6 +125,18 @@
     assert _list_usable_ids(registry) == ['i-1']
 
 
+# The entry instance ended as it listed the older run at an address.
+def test_older_run_outlasts_a_silent_newer_one():
+    """A run that others report alive is usable once the newer is forgotten."""
+    registry = state.Registry(HEARTBEAT_S)
+    registry.apply_announcement(_make_target('i-1', born=100), 0)
+    registry.apply_announcement(_make_target('i-2', born=200), 0)
+    for second in range(1, 130):
+        registry.refresh('i-1', second)
+        list(registry.expire(second))
+    assert _list_usable_ids(registry) == ['i-1']
+
+
 def test_find_rank():
     """The latest run of a rank is found, unless it has gone."""
     registry = state.Registry(HEARTBEAT_S)
