Announce a target anew that takes its address back

What callers saw: one entry of another writer with a sound target's address and the same start (or with none, where the sound one has none) kept all requests from the sound target at the entry instances.

Cause: the two runs count as equally new, so the last one announced has the address. The replica gave it back with the sound target's next announcement, but called that a mere heartbeat, so that the entry instances, which get just the id of such a target, never heard of it.

Change: an announcement that changes which run has the address counts as a change and is sent on in full.

Evidence: the new test failed before with REFRESHED instead of CHANGED.

--- a/packages/bambooring/src/bambooring/targets/state.py
+++ b/packages/bambooring/src/bambooring/targets/state.py
@@ -112,7 +112,8 @@
             return AnnouncementResult.STALE
         self._newest_runs[target.address] = (target.born_ms, target.id)
         self._records[target.id] = _Record(target=target, last_seen_s=now_s)
-        if record is None or record.is_expired:
+        is_newest = newest == (target.born_ms, target.id)
+        if record is None or record.is_expired or not is_newest:
             return AnnouncementResult.CHANGED
         if _is_unchanged(target, record.target):
             return AnnouncementResult.REFRESHED
--- a/packages/bambooring/src/bambooring/targets/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/targets/tests/test_state.py
@@ -99,6 +99,25 @@
     assert _list_usable_ids(registry) == ['i-2']
 
 
+# One entry of another writer took a sound target out for good.
+def test_address_taken_back_from_a_run_with_the_same_start():
+    """The run that goes on is announced anew to the other instances."""
+    control = state.Registry(HEARTBEAT_S)
+    entry = state.Registry(HEARTBEAT_S)
+    announcements = [
+        _make_target('i-1', sequence=1),
+        _make_target('other', sequence=1),
+        _make_target('i-1', sequence=2),
+    ]
+    for second, target in enumerate(announcements):
+        result = control.apply_announcement(target, second)
+        assert result is state.AnnouncementResult.CHANGED
+        entry.apply_announcement(target, second)
+    assert _list_usable_ids(control) == _list_usable_ids(entry) == ['i-1']
+    refreshed = control.apply_announcement(_make_target(sequence=3), 3)
+    assert refreshed is state.AnnouncementResult.REFRESHED
+
+
 def test_relayed_announcements():
     """Registries agree on a target that is gone, in any order of arrival."""
     first = state.Registry(HEARTBEAT_S)
