Let a target outlive an odd entry at its address

What callers saw: after one entry of another writer with a sound target's address, or its id, and a start in the future no request reached the sound target again.

Cause: the run that started last wins, for good, whoever says so. The sound target's own announcements were stale from then on.

Ruled out: a bound against a clock. Clocks jump on both sides, so that it must be wide, and a start within it does the same harm; a replica whose own clock is wrong would refuse all targets.

Change: a run that was replaced and goes on announcing itself for four heartbeats, with rising numbers, while the later run is silent, makes the later one void. This goes to the other instances as a field of the target, which can come late, twice and in any order. A new run at an address wins at once as before, late heartbeats of an ended run change nothing, the end of a run stays final.

--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -343,6 +343,7 @@
                 state=target.state,
                 born=target.born_ms,
                 sequence=target.sequence,
+                is_void=target.is_void,
                 source=link.name,
             )
         if changed:
--- a/packages/bambooring/src/bambooring/gateway/registrar.py
+++ b/packages/bambooring/src/bambooring/gateway/registrar.py
@@ -74,8 +74,12 @@
         :param exchange: the target's call
         :param target: the announcement
         """
-        result = self._registry.apply_announcement(target, self._reactor.now())
+        now_s = self._reactor.now()
+        void_runs = self._registry.settle_dispute(target, now_s)
+        result = self._registry.apply_announcement(target, now_s)
         metrics.ANNOUNCEMENTS.labels(effect=result.value).inc()
+        if void_runs:
+            self._broadcast_void_runs(void_runs, target)
         if result is targets_state.AnnouncementResult.REFRESHED:
             self._refreshed_ids[target.id] = None
         if result is not targets_state.AnnouncementResult.CHANGED:
@@ -88,6 +92,22 @@
         else:
             self._broadcast_and_confirm(exchange, target)
 
+    def _broadcast_void_runs(
+        self, void_runs: list[messages.Target], target: messages.Target
+    ) -> None:
+        """Tell the other instances which runs a target outlived."""
+        for void_run in void_runs:
+            metrics.ANNOUNCEMENTS.labels(effect='void').inc()
+            LOG.warning(
+                'run void',
+                target=void_run.id,
+                address=void_run.address,
+                born=void_run.born_ms,
+                outlived_by=target.id,
+                outlived_by_born=target.born_ms,
+            )
+        self._broadcast([*void_runs, target])
+
     def handle_withdrawal(
         self,
         exchange: http1_server.Exchange,
@@ -229,6 +249,7 @@
         born=target.born_ms,
         sequence=target.sequence,
         group_epoch=target.group_epoch,
+        is_void=target.is_void,
         source=source,
     )
 
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -31,7 +31,8 @@
     target's clock; ``sequence`` increases with each announcement of the run.
     ``slots`` is 0 if the target doesn't report it. ``group`` is empty for a
     target outside of a model group. A group that is not open is broken: it
-    runs no requests until it opens again, in a later epoch.
+    runs no requests until it opens again, in a later epoch. A void run doesn't
+    count: an earlier run that it would replace outlived it.
     """
 
     id: str
@@ -46,6 +47,7 @@
     group_epoch: int = 0
     rank: int = 0
     is_group_open: bool = True
+    is_void: bool = False
 
 
 @codec.register(SCHEMA, 170)
--- a/packages/bambooring/src/bambooring/targets/targets.capnp
+++ b/packages/bambooring/src/bambooring/targets/targets.capnp
@@ -19,6 +19,7 @@
   groupEpoch @9 :UInt64;
   rank @10 :UInt32;
   isGroupOpen @11 :Bool = true;
+  isVoid @12 :Bool;
 }
 
 struct Announced {
--- a/packages/bambooring/src/bambooring/targets/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/targets/tests/test_state.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from bambooring.targets import messages
 from bambooring.targets import state
 
@@ -118,6 +120,145 @@
     assert refreshed is state.AnnouncementResult.REFRESHED
 
 
+class Replica:
+    """A control replica's registry and that of an entry instance."""
+
+    def __init__(self):
+        self.registry = state.Registry(HEARTBEAT_S)
+        self.entry = state.Registry(HEARTBEAT_S)
+
+    def announce(self, target, now_s):
+        """Handle a target's own announcement as the registrar does."""
+        void_runs = self.registry.settle_dispute(target, now_s)
+        result = self.registry.apply_announcement(target, now_s)
+        if void_runs or result is state.AnnouncementResult.CHANGED:
+            for sent in (*void_runs, target):
+                self.entry.apply_announcement(sent, now_s)
+        elif result is state.AnnouncementResult.REFRESHED:
+            self.entry.refresh(target.id, now_s)
+        for registry in (self.registry, self.entry):
+            list(registry.expire(now_s))
+        return void_runs
+
+    def list_usable(self):
+        """Return the usable targets, the same in both registries."""
+        usable_ids = _list_usable_ids(self.registry)
+        assert _list_usable_ids(self.entry) == usable_ids
+        return usable_ids
+
+
+FUTURE = 10**12
+ODD_ENTRIES = [
+    {'id': 'other', 'born': FUTURE},
+    {'id': 'i-1', 'born': FUTURE},
+    {'id': 'i-1', 'born': FUTURE, 'address': '10.0.0.2:80'},
+]
+
+
+# One entry with a far start kept all requests from a sound target for good.
+@pytest.mark.parametrize('odd_entry', ODD_ENTRIES)
+def test_run_that_goes_on_outlives_a_later_one(odd_entry):
+    """The sound target is used again once the odd one was long silent."""
+    replica = Replica()
+    replica.announce(_make_target(sequence=1), 0)
+    replica.announce(_make_target(**odd_entry), 0.5)
+    assert replica.list_usable() != ['i-1'] or odd_entry['id'] == 'i-1'
+    for second in range(1, 5):
+        assert not replica.announce(_make_target(sequence=second + 1), second)
+    (void_run,) = replica.announce(_make_target(sequence=6), 5)
+    assert void_run.born_ms == FUTURE
+    assert replica.list_usable() == ['i-1']
+    assert replica.registry.get('i-1') == _make_target(sequence=6)
+    # The odd entry once more, with a later number, changes nothing.
+    for second in range(6, 200):
+        replica.announce(_make_target(sequence=second + 1), second)
+        odd_target = _make_target(sequence=second, **odd_entry)
+        replica.announce(odd_target, second + 0.5)
+        assert replica.list_usable() == ['i-1']
+    assert replica.registry.get('i-1') == _make_target(sequence=200)
+
+
+def test_new_run_beside_a_void_one():
+    """A new run wins at its address at once although one there was void."""
+    replica = Replica()
+    replica.announce(_make_target(sequence=1), 0)
+    replica.announce(_make_target(id='other', born=FUTURE), 0.5)
+    for second in range(1, 7):
+        replica.announce(_make_target(sequence=second + 1), second)
+    assert replica.list_usable() == ['i-1']
+    replica.announce(_make_target(id='i-2', born=200), 7)
+    assert replica.list_usable() == ['i-2']
+
+
+def test_late_heartbeats_of_an_ended_run():
+    """Heartbeats that arrive late don't outlive the run that goes on."""
+    replica = Replica()
+    replica.announce(_make_target(sequence=1), 0)
+    for second in range(1, 30):
+        run = _make_target(id='i-2', born=200, sequence=second)
+        replica.announce(run, second)
+        late = _make_target(sequence=second + 1)
+        assert not replica.announce(late, second + 0.9)
+        assert replica.list_usable() == ['i-2']
+
+
+def test_few_late_heartbeats_while_a_new_run_is_silent():
+    """Late heartbeats must last as long as a target may be silent."""
+    replica = Replica()
+    replica.announce(_make_target(sequence=1), 0)
+    replica.announce(_make_target(id='i-2', born=200), 1)
+    for second, sequence in ((8, 2), (9, 3), (11.9, 4), (30, 4), (34, 4)):
+        late = _make_target(sequence=sequence)
+        assert not replica.announce(late, second)
+        assert replica.list_usable() == []
+    replica.announce(_make_target(id='i-2', born=200, sequence=2), 35)
+    assert replica.list_usable() == ['i-2']
+
+
+def test_void_run_that_goes_on():
+    """A run that was void by mistake outlives the other one in turn."""
+    replica = Replica()
+    replica.announce(_make_target(sequence=1), 0)
+    replica.announce(_make_target(id='i-2', born=200), 1)
+    for second in range(2, 8):
+        replica.announce(_make_target(sequence=second), second)
+    assert replica.list_usable() == ['i-1']
+    for second in range(8, 20):
+        run = _make_target(id='i-2', born=200, sequence=second)
+        replica.announce(run, second)
+    assert replica.list_usable() == ['i-2']
+
+
+def test_end_of_a_void_run_is_final():
+    """A run that ended isn't usable again by a late heartbeat of its own."""
+    replica = Replica()
+    replica.announce(_make_target(sequence=1), 0)
+    ended = _make_target(id='i-2', born=200, state=messages.State.GONE)
+    for registry in (replica.registry, replica.entry):
+        registry.apply_announcement(ended, 1)
+    for second in range(2, 20):
+        replica.announce(_make_target(sequence=second), second)
+    late = _make_target(id='i-2', born=200, sequence=9)
+    for registry in (replica.registry, replica.entry):
+        registry.apply_announcement(late, 20)
+    assert replica.list_usable() == ['i-1']
+
+
+@pytest.mark.parametrize('odd_entry', ODD_ENTRIES)
+def test_void_run_is_sent_to_new_instances(odd_entry):
+    """An instance that has the odd entry learns that it is void."""
+    replica = Replica()
+    replica.announce(_make_target(sequence=1), 0)
+    cut_off = state.Registry(HEARTBEAT_S)
+    cut_off.apply_announcement(_make_target(**odd_entry), 0.5)
+    replica.announce(_make_target(**odd_entry), 0.5)
+    for second in range(1, 8):
+        replica.announce(_make_target(sequence=second + 1), second)
+    for target in replica.registry.list_all():
+        cut_off.apply_announcement(target, 8)
+    assert _list_usable_ids(cut_off) == ['i-1']
+
+
 def test_relayed_announcements():
     """Registries agree on a target that is gone, in any order of arrival."""
     first = state.Registry(HEARTBEAT_S)
