Refuse engines' reports that can't be read or sent

What callers saw: wrong bytes in an engine's answer to a poll ended the agent of its rank (numbers of 10^30, counts or experts that are no numbers, deep nesting), or the leading control replica: a rank of 10^9 made it list as many slowdowns.

Cause: the decoder took numbers of any size and lists of anything, and only ValueError of the JSON parser was expected.

Change: what is out of range is a ReportError. The agent logs a row of them once for each kind of report and keeps what it knew.

--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -4,6 +4,7 @@
 the engine, so it can be killed and restarted at any time.
 """
 
+import collections.abc
 import typing
 
 import structlog
@@ -13,6 +14,7 @@
 from bambooring_agent.ranks import messages as agent_messages
 from bambooring_agent.ranks import state as state_module
 from bambooring_core import const as core_const
+from bambooring_core import errors
 from bambooring_core.http1 import kept
 from bambooring_core import identity as identity_module
 from bambooring_core import links
@@ -21,6 +23,8 @@
 
 LOG = structlog.get_logger(__name__)
 
+T = typing.TypeVar('T')
+
 
 class RankAgent:
     """The agent process of one rank.
@@ -62,6 +66,7 @@
         self._is_reading_experts = False
         self._awaited_version = 0
         self._fast_polling_until_s = 0.0
+        self._unreadable_kinds: set[str] = set()
 
     def run(self) -> None:
         """Run until stopped."""
@@ -230,19 +235,48 @@
             self._is_reading_experts = True
             self._poll(self._dialect.make_experts_call(), self._handle_experts)
 
+    def _read_report(
+        self, kind: str, read: collections.abc.Callable[[], T]
+    ) -> T | None:
+        """Return what a function decodes, or None if the report is unreadable.
+
+        An engine is polled many times a second: a row of unreadable reports of
+        a kind is logged once.
+        """
+        try:
+            report = read()
+        except errors.ReportError as error:
+            if kind not in self._unreadable_kinds:
+                self._unreadable_kinds.add(kind)
+                LOG.warning(
+                    'engine report unreadable', kind=kind, error=str(error)
+                )
+            return None
+        self._unreadable_kinds.discard(kind)
+        return report
+
     def _handle_experts(self, status: int, body: bytes) -> None:
         self._is_reading_experts = False
-        if status == 200:
-            self._held_experts = self._dialect.read_experts(body)
-            self._poll(self._dialect.make_state_call(), self._handle_state)
+        if status != 200:
+            return
+        experts = self._read_report(
+            'experts', lambda: self._dialect.read_experts(body)
+        )
+        if experts is None:
+            return
+        self._held_experts = experts
+        self._poll(self._dialect.make_state_call(), self._handle_state)
 
     def _read_state(
         self, status: int, body: bytes
     ) -> messages.RankState | None:
         if status != 200:
             return None
-        state = self._dialect.read_state(
-            self._settings.instance, self._settings.service, body
+        state = self._read_report(
+            'state',
+            lambda: self._dialect.read_state(
+                self._settings.instance, self._settings.service, body
+            ),
         )
         experts = self._held_experts
         if state is not None and experts is not None:
@@ -259,8 +293,12 @@
             self._poll(self._dialect.make_counts_call(), self._handle_counts)
 
     def _handle_counts(self, status: int, body: bytes) -> None:
-        counts = self._dialect.read_counts(body) if status == 200 else None
-        if counts is None or self._state is None:
+        if status != 200 or self._state is None:
+            return
+        counts = self._read_report(
+            'counts', lambda: self._dialect.read_counts(body)
+        )
+        if counts is None:
             return
         demand = self._demand_meter.record_totals(counts, self._state)
         if demand is not None:
--- a/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
@@ -8,6 +8,7 @@
 
 from bambooring_agent.ranks import messages as agent_messages
 from bambooring_agent.ranks import task
+from bambooring_core import errors
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as server_module
 from bambooring_core.ranks import messages
@@ -185,6 +186,29 @@
         assert other.paths == []
 
 
+# Wrong bytes in a poll's answer ended the agent.
+def test_unreadable_report_changes_nothing():
+    """The last state stays, and a row of such reports is logged once."""
+    with (
+        _run_agent() as (_reactor, agent, _own, _other),
+        mock.patch.object(task, 'LOG') as log,
+    ):
+        state = _Dialect().read_state('side-0', 'llm', b'')
+        agent._state = state
+        dialect: typing.Any = mock.Mock()
+        dialect.read_state.side_effect = errors.ReportError('rank 5 of 2')
+        dialect.read_counts.side_effect = errors.ReportError('no list')
+        dialect.read_experts.side_effect = errors.ReportError('no list')
+        agent._dialect = dialect
+        for _ in range(3):
+            agent._handle_state(200, b'')
+            agent._handle_counts(200, b'')
+            agent._handle_experts(200, b'')
+        assert agent._state is state
+        kinds = [call.kwargs['kind'] for call in log.warning.mock_calls]
+        assert kinds == ['state', 'counts', 'experts']
+
+
 class _RepeatingEngine(_Engine):
     """Send each response a second time, when the next request has come.
 
--- a/packages/core/src/bambooring_core/bounds.py
+++ b/packages/core/src/bambooring_core/bounds.py
@@ -20,7 +20,9 @@
 MAX_DIGITS: typing.Final = 20
 
 # The highest integer that JSON readers with double precision know exactly.
-MAX_NUMBER: typing.Final = 2**53 - 1
+# Fields of 64 bits have room for sums of it.
+EXACT_BITS: typing.Final = 53
+MAX_NUMBER: typing.Final = 2**EXACT_BITS - 1
 MAX_DURATION_MS: typing.Final = MAX_NUMBER
 
 # Names are far shorter.
--- a/packages/core/src/bambooring_core/errors.py
+++ b/packages/core/src/bambooring_core/errors.py
@@ -20,6 +20,10 @@
     """
 
 
+class ReportError(BambooringError):
+    """A report of an engine can't be read."""
+
+
 class ResponseAbortedError(BambooringError):
     """A response is aborted on purpose, so that it can't look complete."""
 
--- a/packages/core/src/bambooring_core/ranks/messages.py
+++ b/packages/core/src/bambooring_core/ranks/messages.py
@@ -302,19 +302,28 @@
     def read_state(
         self, target: str, service: str, body: bytes
     ) -> RankState | None:
-        """Decode the rank's state, or return None if it is in no group."""
+        """Decode the rank's state, or return None if it is in no group.
+
+        :raises ReportError: if it can't be decoded
+        """
 
     def make_counts_call(self) -> RankCall:
         """Make the call that reads the expert counts."""
 
     def read_counts(self, body: bytes) -> ExpertCounts | None:
-        """Decode the expert counts, or return None if there are none."""
+        """Decode the expert counts, or return None if there are none.
+
+        :raises ReportError: if it can't be decoded
+        """
 
     def make_experts_call(self) -> RankCall:
         """Make the call that reads which experts the rank holds."""
 
     def read_experts(self, body: bytes) -> HeldExperts | None:
-        """Decode the held experts, or return None if there are none."""
+        """Decode the held experts, or return None if there are none.
+
+        :raises ReportError: if it can't be decoded
+        """
 
     def make_order_call(
         self, order: RankOrder, target_id: str = ''
