Report no demand that has no room in a report

What callers saw: totals of an engine that jumped by 2^32 or more between two polls ended the agent of its rank.

Cause: the narrowest type with room for all counts is looked for among types of up to four bytes (StopIteration).

Change: such totals are not compared, as those of a restarted rank.

Evidence: the new test failed before with StopIteration; the tests of the agent pass.

--- a/packages/agent/src/bambooring_agent/ranks/state.py
+++ b/packages/agent/src/bambooring_agent/ranks/state.py
@@ -1,6 +1,7 @@
 """Derive the demand for experts from the totals that a rank counts."""
 
 from bambooring_agent.ranks import const
+from bambooring_core import bounds
 from bambooring_core.ranks import messages
 
 
@@ -80,6 +81,9 @@
         if min(increments, default=0) < 0 or not any(increments):
             # The rank has restarted, or has run nothing since.
             return None
+        if not bounds.is_count(max(increments), bounds.INTEGER_BITS):
+            # No report has room for it, and no rank runs so many tokens.
+            return None
         self.latest_demand = messages.RankDemand(
             target=state.target,
             group=state.group,
--- a/packages/agent/src/bambooring_agent/ranks/tests/test_state.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_state.py
@@ -50,6 +50,15 @@
     assert _record_totals(meter, [1, 3, 2]) == [0, 3, 0]
 
 
+# A jump of the totals that no report has room for ended the agent.
+def test_absurd_totals_are_no_demand():
+    """Totals that jump by more than 32 bits are not compared."""
+    meter = state.DemandMeter()
+    _record_totals(meter, [0, 0, 0])
+    assert _record_totals(meter, [2**32, 0, 0]) is None
+    assert _record_totals(meter, [2**33 - 1, 0, 0]) == [2**32 - 1, 0, 0]
+
+
 def test_latest_demand_is_kept():
     """Totals without a change keep the last demand for a new leader."""
     meter = state.DemandMeter()
