Plan no map for demand that doesn't fit the experts

What callers saw: nothing in operation. Reports of an engine that contradict each other ended the leading control replica, and each that led after it: counts that are fewer than the sets of layers, or experts without a count.

Cause: the demand and the layout come from different polls, and nothing compared their shapes before they were used as indexes.

Change: counts that can't be split into the sets are refused (logged as 'expert demand unreadable'), and no map is planned until every expert that a rank holds has a load.

Evidence: the new tests failed before with ValueError "range() arg 3 must not be zero", IndexError "list index out of range" (twice) and, twice, "did not raise". The tests of experts/ and gateway/ pass.

--- a/packages/bambooring/src/bambooring/experts/demand.py
+++ b/packages/bambooring/src/bambooring/experts/demand.py
@@ -4,6 +4,7 @@
 import typing
 
 from bambooring.experts import placement
+from bambooring_core import errors
 from bambooring_core.ranks import messages as ranks
 
 # A count of this age weighs half as much as a new one, in a group that is as
@@ -56,7 +57,7 @@
         :param report: how often requests chose each expert since the rank's
             last report
         :param now_s: the current time in seconds
-        :raises FrameError: if the counts can't be unpacked
+        :raises FrameError: if the counts can't be unpacked or split into sets
         """
         rows = _split_into_sets(
             ranks.unpack_counts(report.packed), report.sets
@@ -95,8 +96,13 @@
 
 
 def _split_into_sets(counts: list[int], set_count: int) -> list[list[int]]:
-    """Split the counts of all sets into one row per set."""
-    size = len(counts) // max(1, set_count)
+    """Split the counts of all sets into one row per set.
+
+    :raises FrameError: if the sets don't all have equally many counts
+    """
+    if not set_count or not counts or len(counts) % set_count:
+        raise errors.FrameError(f'{len(counts)} counts of {set_count} sets')
+    size = len(counts) // set_count
     return [
         counts[start : start + size]
         for start in range(0, size * set_count, size)
--- a/packages/bambooring/src/bambooring/experts/rank_states.py
+++ b/packages/bambooring/src/bambooring/experts/rank_states.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from bambooring.experts import placement
 from bambooring_core.ranks import messages as ranks
 
 
@@ -46,6 +47,25 @@
     )
 
 
+def are_experts_counted(
+    states: dict[int, ranks.RankState], loads_by_set: list[placement.Loads]
+) -> bool:
+    """Return whether there is a load for every expert that a rank holds.
+
+    :param states: the state of each rank
+    :param loads_by_set: by set of layers, the load of each expert
+    """
+    sizes = [len(loads) for loads in loads_by_set]
+    return all(
+        len(state.layout) == len(sizes)
+        and all(
+            max(held.experts, default=0) < size
+            for held, size in zip(state.layout, sizes, strict=True)
+        )
+        for state in states.values()
+    )
+
+
 def is_unarmable(version: int, states: dict[int, ranks.RankState]) -> bool:
     """Return whether a version can never be armed on all ranks.
 
--- a/packages/bambooring/src/bambooring/experts/rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/rebalancing.py
@@ -260,6 +260,10 @@
             return
         if self._planning is not None or not self.demand.has_demand:
             return
+        if not rank_states.are_experts_counted(
+            states, self.demand.loads_by_set
+        ):
+            return
         yield from self._begin_planning(states)
 
     def _check_stray_hold(
--- a/packages/bambooring/src/bambooring/experts/tests/test_demand.py
+++ b/packages/bambooring/src/bambooring/experts/tests/test_demand.py
@@ -86,3 +86,18 @@
     assert first / second == pytest.approx(3)
     demand.add(_report([30, 10]), 4.0)
     assert demand.loads_by_set[0][0] > 30
+
+
+# Fewer counts than sets ended the leading control replica.
+@pytest.mark.parametrize(
+    ('counts', 'sets'), [([1], 2), ([1, 2, 3], 2), ([1], 0)]
+)
+def test_refuse_counts_of_another_shape(counts, sets):
+    """Counts that can't be split into the sets change nothing."""
+    demand = demand_module.DemandEstimate()
+    demand.add(_report([8, 1]), 0.0)
+    report = _report(counts)
+    report.sets = sets
+    with pytest.raises(errors.FrameError):
+        demand.add(report, 0.0)
+    assert demand.loads_by_set == [[8, 1]]
--- a/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
+++ b/packages/bambooring/src/bambooring/experts/tests/test_rebalancing.py
@@ -450,3 +450,39 @@
             group = FakeGroup(seed, late_share=0.6, state_loss=0.05)
             group.add_coordinator(1)
             group.run(60)
+
+
+# A report of other sets or experts ended the leading control replica.
+@pytest.mark.parametrize(
+    ('sets', 'experts'), [(SETS + 1, EXPERTS), (SETS, EXPERTS - 1)]
+)
+def test_no_plan_for_demand_of_another_shape(sets, experts):
+    """A map is planned once the demand fits the experts that ranks hold."""
+    coordinator = rebalancing.Rebalancer(
+        group='g', term=1, engine_spec=ENGINE_SPEC
+    )
+
+    def take_reports(sets, experts):
+        demand = messages.RankDemand(
+            target='rank-0',
+            group='g',
+            epoch=1,
+            rank=0,
+            sets=sets,
+            packed=messages.pack_counts([30, *[3] * (experts - 1)] * sets),
+        )
+        coordinator.demand.add(demand, 1.0)
+        for rank in range(RANKS):
+            state = FakeEngine(rank).make_state(1)
+            list(coordinator.take_state(state, 1.0))
+        effects = [
+            *coordinator.tick(1.0),
+            *coordinator.continue_planning(1.0),
+        ]
+        return any(
+            isinstance(effect, rebalancer_types.ContinuePlanning)
+            for effect in effects
+        )
+
+    assert not take_reports(sets, experts)
+    assert take_reports(SETS, EXPERTS)
