Refuse messages with an unknown enumerant

What callers saw: a link frame, read before the peer has shown the key, whose enumeration has a number without a value ended the process that read it. So would a value that only a later release knows, in a rolling upgrade.

Cause: the library raises RuntimeError "Member was null." for it, and only its own exception and ValueError were taken for an invalid message.

Change: RuntimeError while a message is decoded is a FrameError too, which closes the link (or drops the datagram, or is damage in a stored file).

Evidence: the new test failed before with RuntimeError.

--- a/packages/core/src/bambooring_core/codec.py
+++ b/packages/core/src/bambooring_core/codec.py
@@ -19,6 +19,9 @@
 
 _READ_LIMIT_WORDS = 64 * 1024 * 1024
 
+# The library raises RuntimeError for an enumerant that the schema lacks.
+_INVALID_MESSAGE = (capnp.KjException, ValueError, RuntimeError)
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _FieldLayout:
@@ -218,7 +221,7 @@
             data, traversal_limit_in_words=_READ_LIMIT_WORDS
         ) as reader:
             return _read_message(reader, layout)
-    except (capnp.KjException, ValueError) as error:
+    except _INVALID_MESSAGE as error:
         raise errors.FrameError(str(error)) from error
 
 
@@ -267,5 +270,5 @@
             data[2:], traversal_limit_in_words=_READ_LIMIT_WORDS
         )
         return _read_message(reader, layout)
-    except (capnp.KjException, ValueError) as error:
+    except _INVALID_MESSAGE as error:
         raise errors.FrameError(str(error)) from error
--- a/packages/core/src/bambooring_core/tests/test_frames.py
+++ b/packages/core/src/bambooring_core/tests/test_frames.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import pytest
 
+from bambooring_core import codec
 from bambooring_core import const
 from bambooring_core.dispatch import messages as dispatch
 from bambooring_core import errors
@@ -48,6 +49,28 @@
         pass
 
 
+# A kind that only a later release knows ended the process that read it.
+def test_unknown_enumerant_is_a_frame_error():
+    """A number that no value of an enumeration has is refused."""
+    short, suspect = (
+        dispatch.SCHEMA.Start.new_message(lane=lane).to_bytes()
+        for lane in ('short', 'suspect')
+    )
+    (offset,) = (
+        index
+        for index, (byte, other) in enumerate(zip(short, suspect, strict=True))
+        if byte != other
+    )
+    type_id = 10
+    decoded = codec.decode(type_id, suspect)
+    assert decoded.lane is dispatch.Lane.SUSPECT
+    for number in range(3, 256):
+        data = bytearray(suspect)
+        data[offset] = number
+        with pytest.raises(errors.FrameError):
+            codec.decode(type_id, bytes(data))
+
+
 def test_large_frame_is_refused_before_it_is_read():
     """A frame over the limit is rejected as soon as its header arrives."""
     header = (const.FRAME_LIMIT_BYTES + 1).to_bytes(4, 'little') + b'\1\0'
