--- a/packages/core/src/bambooring_core/bounds.py
+++ b/packages/core/src/bambooring_core/bounds.py
@@ -9,6 +9,7 @@
 import typing
 
 # The widths of unsigned fields in messages.
+BYTE_BITS: typing.Final = 8
 SHORT_BITS: typing.Final = 16
 INTEGER_BITS: typing.Final = 32
 LONG_BITS: typing.Final = 64
@@ -85,6 +86,20 @@
     return not any('\ud800' <= character <= '\udfff' for character in value)
 
 
+def is_host(value: str) -> bool:
+    """Return whether a text is an IPv4 address in its usual form."""
+    parts = [
+        parse_count(part.encode(), BYTE_BITS) for part in value.split('.')
+    ]
+    return len(parts) == 4 and value == '.'.join(map(str, parts))
+
+
+def is_address(value: str) -> bool:
+    """Return whether a text is an IPv4 address with a port above 0."""
+    host, _, port = value.rpartition(':')
+    return is_host(host) and bool(parse_count(port.encode(), SHORT_BITS))
+
+
 def is_header_text(value: str) -> bool:
     """Return whether a text can be sent as the value of a header."""
     if value != value.strip(' \t'):
--- a/packages/core/src/bambooring_core/tests/test_bounds.py
+++ b/packages/core/src/bambooring_core/tests/test_bounds.py
@@ -89,3 +89,33 @@
         value = {'a': [1, 2], 'b': [value]}
     assert not bounds.is_nested_deeper(value, 10)
     assert bounds.is_nested_deeper(value, 9)
+
+
+@pytest.mark.parametrize('value', ['10.0.0.9:1', '255.255.255.255:65535'])
+def test_address(value):
+    """An IPv4 address with a port is an address."""
+    assert bounds.is_address(value)
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        '',
+        'worker:80',
+        '10.0.0.9',
+        '10.0.0.9:',
+        '10.0.0.9:0',
+        '10.0.0.9:65536',
+        '10.0.0.9:8_0',
+        '10.0.0.9: 80',
+        '10.0.0.256:80',
+        '10.0.0.09:80',
+        '10.0.9:80',
+        '10.0.0.0.9:80',
+        '10.0.0.\u0669:80',
+        '::1:80',
+    ],
+)
+def test_no_address(value):
+    """What can't be connected to as it stands is no address."""
+    assert not bounds.is_address(value)
