Answer HEAD without a body, and no CONNECT

What callers saw: a HEAD request to a path without a route, without a key, or refused for any other reason ended the entry instance with all requests that it held; so did HEAD or CONNECT at the address of readiness and any error at the address of operators.

Cause: the HTTP library raises an error on a body where the protocol allows none (HEAD, 204, 304), and on anything sent after a success to CONNECT. Responses to errors have a body, whatever was asked.

Change: the body is left out where none is allowed, its length is kept for HEAD. CONNECT is refused with 405: nothing here is a tunnel.

Evidence: all five new cases in test_connections.py failed before with LocalProtocolError ("Too much data for declared Content-Length", "state= SWITCHED_PROTOCOL"), in a cluster HEAD and CONNECT did; OPTIONS and TRACE passed before. The tests of http1/ and test_end_to_end.py pass.

--- a/packages/core/src/bambooring_core/http1/checks.py
+++ b/packages/core/src/bambooring_core/http1/checks.py
@@ -5,6 +5,15 @@
 from bambooring_core.http1 import errors
 
 
+def check_method(request: h11.Request) -> None:
+    """Reject a request for a tunnel.
+
+    After a success nothing could be sent or read on its connection any more.
+    """
+    if request.method == b'CONNECT':
+        raise errors.RequestError(405, 'tunnel')
+
+
 def check_framing(request: h11.Request) -> None:
     """Reject a request with Transfer-Encoding and Content-Length.
 
--- a/packages/core/src/bambooring_core/http1/const.py
+++ b/packages/core/src/bambooring_core/http1/const.py
@@ -28,3 +28,6 @@
 LINGER_S: typing.Final = 1.0
 
 LISTEN_BACKLOG: typing.Final = 1024
+
+# No content and not modified.
+STATUSES_WITHOUT_BODY: typing.Final = (204, 304)
--- a/packages/core/src/bambooring_core/http1/server.py
+++ b/packages/core/src/bambooring_core/http1/server.py
@@ -32,6 +32,7 @@
 
     __slots__ = (
         '_connection',
+        '_is_body_allowed',
         'is_done',
         'is_started',
         'on_drained',
@@ -43,6 +44,7 @@
         self, connection: 'Connection', request: messages.Request
     ) -> None:
         self._connection = connection
+        self._is_body_allowed = request.method != 'HEAD'
         self.request = request
         self.is_started = False
         self.is_done = False
@@ -61,11 +63,14 @@
         :param headers: the headers; without a length the body is chunked
         """
         self.is_started = True
+        if status in const.STATUSES_WITHOUT_BODY:
+            self._is_body_allowed = False
         self._connection.send_head(status, headers)
 
     def write(self, data: bytes) -> None:
-        """Send a part of the response body."""
-        self._connection.send_data(data)
+        """Send a part of the response body, unless it must have none."""
+        if self._is_body_allowed:
+            self._connection.send_data(data)
 
     def end(self) -> None:
         """Complete the response."""
@@ -75,7 +80,12 @@
     def respond(
         self, status: int, headers: messages.Headers, body: bytes
     ) -> None:
-        """Send a complete response with a Content-Length header."""
+        """Send a complete response with a Content-Length header.
+
+        To a HEAD request the length is sent without the body.
+        """
+        if status in const.STATUSES_WITHOUT_BODY:
+            body = b''
         length = str(len(body)).encode()
         self.start(status, [*headers, (b'Content-Length', length)])
         if body:
@@ -194,6 +204,7 @@
     def _handle_event(self, event: typing.Any) -> None:
         match event:
             case h11.Request():
+                checks.check_method(event)
                 checks.check_framing(event)
                 self._head = event
                 self._head_received_s = self._reactor.now()
--- a/packages/core/src/bambooring_core/http1/tests/test_connections.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_connections.py
@@ -95,6 +95,42 @@
 )
 
 
+# A HEAD request whose response had a body, as errors have, ended the process.
+@pytest.mark.parametrize('status', [200, 204, 304, 404])
+def test_response_without_body(status):
+    """The body is left out where the protocol allows none."""
+
+    def respond(exchange):
+        exchange.respond(status, [], b'body')
+
+    handler = RecordingHandler(respond)
+    with _serve(handler) as (reactor, server):
+        for method in (b'HEAD', b'GET'):
+            sock = _connect(server)
+            sock.send(method + b' /a HTTP/1.1\r\nHost: x\r\n\r\n' + POST)
+            data = _read_until(
+                reactor, sock, lambda data: data.count(b'HTTP/1.1') == 2
+            )
+            first, _, _ = data.rpartition(b'HTTP/1.1')
+            has_body = method == b'GET' and status not in (204, 304)
+            assert first.endswith(b'\r\n\r\n' + b'body' * has_body)
+            sock.close()
+
+
+# A successful response to CONNECT ended the process.
+def test_connect_is_refused():
+    """Nothing here is a tunnel, so the handler isn't asked for one."""
+    handler = RecordingHandler()
+    with _serve(handler) as (reactor, server):
+        sock = _connect(server)
+        sock.send(b'CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n')
+        data = _read_until(reactor, sock, lambda data: b'\r\n\r\n' in data)
+        assert data.startswith(b'HTTP/1.1 405')
+        assert handler.refused == ['tunnel']
+        assert not handler.exchanges
+        sock.close()
+
+
 @pytest.mark.parametrize('request_', [POST, CHUNKED])
 def test_pipelined_requests(request_):
     """Requests on one connection are handled one after the other."""
