--- a/packages/core/src/bambooring_core/http1/checks.py
+++ b/packages/core/src/bambooring_core/http1/checks.py
@@ -2,9 +2,17 @@
 
 import h11
 
+from bambooring_core.http1 import const
 from bambooring_core.http1 import errors
 
-_STATUSES_WITHOUT_BODY = (204, 304)
+
+def check_method(request: h11.Request) -> None:
+    """Reject a request for a tunnel.
+
+    After a success nothing could be sent or read on its connection any more.
+    """
+    if request.method == b'CONNECT':
+        raise errors.RequestError(405, 'tunnel')
 
 
 def check_framing(request: h11.Request) -> None:
@@ -23,7 +31,7 @@
     return (
         b'content-length' in names
         or b'transfer-encoding' in names
-        or response.status_code in _STATUSES_WITHOUT_BODY
+        or response.status_code in const.STATUSES_WITHOUT_BODY
     )
 
 
