Pass on a stream that can't be resumed whatever its caller has

What callers would have seen: a stream without its first events, or an empty one, on a route that doesn't allow to resume streams, if they sent the id of a last event.

Change: only on routes whose streams may be resumed does the caller's id say what it has. The target is told the id all the same.

Before: three of the four new cases failed. After: forwarding and core tests pass.

Conclusion: the stricter reading holds where the contract is.

--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -71,7 +71,9 @@
             exchange=exchange,
             progress=self.progress,
             reactor=forwarder.reactor,
-            last_event_id=request.last_event_id,
+            last_event_id=request.last_event_id
+            if self.route.is_resumable
+            else None,
         )
         self._attempt_records: list[access_log.AttemptRecord] = []
         self._attempt: attempt_module.Attempt | None = None
@@ -152,11 +154,14 @@
         self, target_id: str
     ) -> messages.AttemptMetadata:
         """Return what an attempt tells its target besides the request."""
+        last_event_id = self._caller.delivered_events.last_id
+        if last_event_id is None:
+            last_event_id = self.request.last_event_id
         return messages.AttemptMetadata(
             target_id=target_id,
             account=self.account.name if self.account else '',
             time_left_s=self.get_time_left_s(),
-            last_event_id=self._caller.delivered_events.last_id,
+            last_event_id=last_event_id,
         )
 
     def read_response_head(
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import dataclasses
 import selectors
 import socket
 import struct
@@ -12,6 +13,8 @@
 import pytest
 
 from bambooring.forwarding.tests import harness as harness_module
+from bambooring.policy import messages as policy
+from bambooring.policy import state as policy_state
 from bambooring.targets import messages as targets
 
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -349,3 +352,32 @@
     harness = make_harness(RawTarget(_frame([quote], 'none')))
     status, body, _ = _ask(harness, b'/read/1')
     assert (status, body) == (b'200', quote)
+
+
+def _resume_from(harness, monkeypatch, last_event_id):
+    """Let callers say which event they have."""
+    read_request = harness_module.Dialect.read_request
+
+    def read(self, request):
+        caller_request = read_request(self, request)
+        caller_request.last_event_id = last_event_id
+        return caller_request
+
+    monkeypatch.setattr(harness_module.Dialect, 'read_request', read)
+
+
+# Callers missed the first events of a stream that can't be resumed.
+@pytest.mark.parametrize('last_event_id', [0, 1, 3, 9])
+def test_stream_that_cannot_be_resumed_is_passed_on_whole(
+    make_harness, monkeypatch, last_event_id
+):
+    """Whatever id its caller sent: the target need not know of such ids."""
+    route = harness_module.make_route('talk', policy.RouteKind.STREAM)
+    harness = make_harness(RawTarget(_frame(EVENTS, 'chunks', b'Stream: 1')))
+    harness.forwarder.policy_table = policy_state.PolicyTable(
+        dataclasses.replace(harness_module.POLICY, routes=[route])
+    )
+    _resume_from(harness, monkeypatch, last_event_id)
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', True)
+    assert _join_chunks(body) == b''.join(EVENTS)
