Count a repeated event as a sign that a stream has begun

What callers would have seen: a stream of which they had every event was broken off, if the target that continued it sent no length and began anew.

Cause: a stream without a length was taken for broken off if nothing of it had been passed on. What it repeated was not counted.

Change: the events that the target sent are counted, passed on or not.

--- a/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
@@ -64,7 +64,7 @@
         """
         if self._reader.has_partial_event:
             return True
-        return not self._attempt.has_length and self._last_event_s is None
+        return not self._attempt.has_length and not self.counts.complete
 
     @property
     def counts(self) -> events.EventCounts:
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -381,3 +381,17 @@
     status, body, is_whole = _ask(harness, b'/talk/1')
     assert (status, is_whole) == (b'200', True)
     assert _join_chunks(body) == b''.join(EVENTS)
+
+
+# A stream of which callers had every event was broken off.
+@pytest.mark.parametrize('framing', FRAMINGS)
+def test_continuation_that_repeats_known_events_is_not_broken_off(
+    make_harness, framing
+):
+    """Events that the caller has already are events of the target, too."""
+    cut = RawTarget(_frame(EVENTS, 'chunks', b'Stream: 1')[:-5])
+    again = RawTarget(_frame(EVENTS, framing, b'Stream: 1'))
+    harness = make_harness(cut, again)
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', True)
+    assert body.count(b'id: ') == 3
