Take no head of a stream for a stream that broke off

What callers would have seen: 502 for a HEAD request to a route of streams, and its target ejected.

Cause: a response to HEAD has no body, whether or not it states a length, and a stream without a length and without an event counts as broken off.

Change: a response to HEAD counts as one whose end is known.

--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -510,15 +510,30 @@
             )
 
     def send_request(
-        self, path, time_left=b'5', *, parts=b'', body=b'hi', attempt_id=b'7'
+        self,
+        path,
+        time_left=b'5',
+        *,
+        parts=b'',
+        body=b'hi',
+        attempt_id=b'7',
+        method=b'POST',
     ):
         """Send a request and return its socket."""
         sock = socket.create_connection(('127.0.0.1', self.caller_server.port))
         sock.setblocking(False)
         sock.send(
-            b'POST %b HTTP/1.1\r\nHost: h\r\nId: %b\r\nLeft: %b\r\n'
+            b'%b %b HTTP/1.1\r\nHost: h\r\nId: %b\r\nLeft: %b\r\n'
             b'Parts: %b\r\nContent-Length: %d\r\n\r\n%b'
-            % (path, attempt_id, time_left, parts, len(body), body)
+            % (
+                method,
+                path,
+                attempt_id,
+                time_left,
+                parts,
+                len(body),
+                body,
+            )
         )
         return sock
 
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -395,3 +395,16 @@
     status, body, is_whole = _ask(harness, b'/talk/1')
     assert (status, is_whole) == (b'200', True)
     assert body.count(b'id: ') == 3
+
+
+# HEAD requests for streams were refused, and their targets ejected.
+def test_stream_is_not_broken_off_if_only_its_head_was_asked_for(make_harness):
+    """A response to HEAD has no body, whatever its framing says."""
+    target = RawTarget(_make_head(200, b'Stream: 1'))
+    harness = make_harness(target)
+    sock = harness.send_request(b'/talk/1', method=b'HEAD')
+    harness.turn_until(
+        lambda: target.requests and not harness.forwarder.pending_count
+    )
+    assert sock.recv(65536).startswith(b'HTTP/1.1 200')
+    sock.close()
--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -63,6 +63,7 @@
         self._out_buffer = bytearray()
         self._is_connecting = True
         self._is_paused = False
+        self._is_body_expected = True
         self._informational_count = 0
         self._timer = reactor.call_later(
             connect_timeout_s,
@@ -87,6 +88,7 @@
         :param headers: all headers, including the body's length
         :param body: the body
         """
+        self._is_body_expected = method != 'HEAD'
         request = h11.Request(method=method, target=target, headers=headers)
         self._out_buffer += self._http.send(request) or b''
         if body:
@@ -189,7 +191,8 @@
                     head = messages.ResponseHead(
                         status=event.status_code,
                         headers=list(event.headers.raw_items()),
-                        has_length=checks.has_length(event),
+                        has_length=not self._is_body_expected
+                        or checks.has_length(event),
                     )
                     self._listener.handle_response_head(head)
                 case h11.Data():
