Look for a second answer in bodies of any framing

What callers would have seen: a plain response of the right length, signed, that held the head of the target's second answer.

Cause: the length of a body says how many bytes belong to it, not whose. If a target breaks off within that length and answers again, the second answer fills it up.

Change: each buffered body is searched for a head of an answer to the same request that begins inside it, and may go on behind it.

Before: both new cases failed. After: forwarding and core tests pass.

Conclusion: what is forwarded in parts, bodies over 128 KiB, is still not searched.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -232,8 +232,9 @@
         self._listener.handle_completion(self)
 
     def _has_second_answer(self) -> bool:
-        return not self.has_length and second_answers.has_second_answer(
+        return second_answers.has_second_answer(
             bytes(self.buffered_body),
+            self.call.surplus,
             self._request.attempt_id,
             self._listener.read_response_head,
         )
--- a/packages/bambooring/src/bambooring/forwarding/second_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/second_answers.py
@@ -1,7 +1,8 @@
-"""Find a second answer behind the first one of a body without a length.
+"""Find a second answer inside the body of the first one.
 
-A target that answers twice on one connection writes the second answer where
-such a body goes on. What stands before it is not known to be whole.
+A target that answers twice on one connection writes the second answer where a
+body without a length goes on, or where one with a length has broken off. What
+stands before it is not known to be whole.
 """
 
 import collections.abc
@@ -23,27 +24,31 @@
 
 
 def has_second_answer(
-    body: bytes, attempt_id: str, read_head: ReadHead
+    body: bytes, surplus: bytes, attempt_id: str, read_head: ReadHead
 ) -> bool:
     """Return whether a body holds the head of an answer to its request.
 
     :param body: the body
+    :param surplus: what the connection holds behind it, where a head may go on
     :param attempt_id: the id that the answer repeats
     :param read_head: decodes a head
     """
     return any(
-        read_head(head).attempt_id == attempt_id for head in _find_heads(body)
+        read_head(head).attempt_id == attempt_id
+        for head in _find_heads(body, surplus)
     )
 
 
 def _find_heads(
-    body: bytes,
+    body: bytes, surplus: bytes
 ) -> collections.abc.Iterator[http1.ResponseHead]:
+    """Yield the heads that begin in a body."""
+    data = body + surplus
     position = body.find(_HEAD_START)
     for _ in range(_MAX_HEADS):
         if position < 0:
             return
-        head = _parse_head(body[position : position + _MAX_HEAD_BYTES])
+        head = _parse_head(data[position : position + _MAX_HEAD_BYTES])
         if head is not None:
             yield head
         position = body.find(_HEAD_START, position + 1)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -408,3 +408,18 @@
     )
     assert sock.recv(65536).startswith(b'HTTP/1.1 200')
     sock.close()
+
+
+# Callers got a part of an answer with the head of the second one behind it.
+@pytest.mark.parametrize('path', [b'/read/1', b'/book/1'])
+def test_second_answer_does_not_complete_a_cut_one(make_harness, path):
+    """The target owes a rest when its second answer begins."""
+    body = b'x' * 300
+    answer = _frame([body], 'length')
+    twice = RawTarget(answer[:-200] + answer)
+    harness = make_harness(twice, RawTarget(answer))
+    status, received, _ = _ask(harness, path)
+    assert (status, received) in (
+        (b'200', body),
+        (b'502', b'target_failed\n'),
+    )
--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -107,6 +107,11 @@
             self._socket, selectors.EVENT_WRITE, self._on_ready
         )
 
+    @property
+    def surplus(self) -> bytes:
+        """Return what has been received behind the response."""
+        return self._http.trailing_data[0]
+
     def pause(self) -> None:
         """Stop reading until :meth:`resume`."""
         if not self._is_paused:
