Know the fields of events instead of guessing by their case

What callers would have seen: the head of a second answer inside an event, if its names are in lower case.

The names of a head may be in any case.

Ruled out: looking for HTTP/1.1 in events, which may be a model's own words.

Conclusion: a platform that adds a field says so in its dialect.

--- a/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
@@ -51,7 +51,9 @@
         self._service = service
         self._handle_first_event = handle_first_event
         self._handle_stall = handle_stall
-        self._reader = events.EventReader(caller.delivered_events)
+        self._reader = events.EventReader(
+            caller.delivered_events, forwarder.event_format
+        )
         self._last_event_s: float | None = None
         self._stall_watch: stalls.StallWatch | None = None
 
--- a/packages/bambooring/src/bambooring/forwarding/dialect.py
+++ b/packages/bambooring/src/bambooring/forwarding/dialect.py
@@ -63,9 +63,12 @@
 class Dialect(typing.Protocol):
     """Translate between a platform's protocol and this product's types.
 
-    The methods have no side effects.
+    The methods have no side effects. ``event_fields`` are the names of fields
+    that events of streams have besides those of the standard.
     """
 
+    event_fields: tuple[bytes, ...]
+
     def read_request(self, request: http1.Request) -> messages.CallerRequest:
         """Decode a caller's request.
 
--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -7,11 +7,35 @@
 from bambooring.forwarding import const
 from bambooring.forwarding import errors
 
-# A complete event: lines of fields, of which one is its id. The names of
-# fields are in lower case, unlike those of a response's head.
-_OTHER_FIELDS = rb'(?:(?!id[:\r\n])[a-z-]*(?::[^\r\n]*)?\r?\n)*'
-_ID_FIELD = rb'id:[ ]*([0-9]{1,18})[ ]*\r?\n'
-_EVENT = re.compile(_OTHER_FIELDS + _ID_FIELD + _OTHER_FIELDS)
+_STANDARD_FIELDS = (b'', b'data', b'event', b'retry')
+
+
+class EventFormat:
+    """The fields that the events of a platform's streams have.
+
+    A block with any other line is no event: it may be the head of a second
+    answer.
+    """
+
+    __slots__ = ('_pattern',)
+
+    def __init__(self, more_fields: collections.abc.Iterable[bytes]) -> None:
+        """Create a format.
+
+        :param more_fields: the names of fields besides those of the standard
+        """
+        names = b'|'.join(map(re.escape, (*_STANDARD_FIELDS, *more_fields)))
+        other_fields = rb'(?:(?:%b)(?::[^\r\n]*)?\r?\n)*' % names
+        id_field = rb'id:[ ]*([0-9]{1,18})[ ]*\r?\n'
+        self._pattern = re.compile(other_fields + id_field + other_fields)
+
+    def read_id(self, event: bytes) -> int | None:
+        """Return the id of an event.
+
+        :returns: None if the block is no event with one id
+        """
+        match = self._pattern.fullmatch(event)
+        return int(match[1]) if match else None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -74,13 +98,23 @@
     at the caller that the next response would have to complete.
     """
 
-    __slots__ = ('_buffer', '_counts', '_delivered', '_is_continuation')
-
-    def __init__(self, delivered: DeliveredEvents) -> None:
+    __slots__ = (
+        '_buffer',
+        '_counts',
+        '_delivered',
+        '_event_format',
+        '_is_continuation',
+    )
+
+    def __init__(
+        self, delivered: DeliveredEvents, event_format: EventFormat
+    ) -> None:
         """Create a reader.
 
         :param delivered: the events that the caller has, which is updated
+        :param event_format: how the events look
         """
+        self._event_format = event_format
         self._buffer = bytearray()
         self._counts = EventCounts()
         self._delivered = delivered
@@ -115,7 +149,7 @@
                 return
             event = bytes(self._buffer[:end])
             del self._buffer[:end]
-            event_id = _read_event_id(event)
+            event_id = self._event_format.read_id(event)
             if event_id is None and _is_comment(event):
                 yield event
                 continue
@@ -169,12 +203,3 @@
 def _is_comment(event: bytes) -> bool:
     """Return whether it is a comment only, which keeps a connection open."""
     return all(line.startswith(b':') for line in event.splitlines() if line)
-
-
-def _read_event_id(event: bytes) -> int | None:
-    """Return the event's id.
-
-    :returns: None if it has no id, more than one, or a line that is no field
-    """
-    match = _EVENT.fullmatch(event)
-    return int(match[1]) if match else None
--- a/packages/bambooring/src/bambooring/forwarding/forwarder.py
+++ b/packages/bambooring/src/bambooring/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 from bambooring.balancing import state as balancing
 from bambooring.crashes import task as crashes
 from bambooring.forwarding import attempt as attempt_module
+from bambooring.forwarding import events
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import stalls
@@ -23,6 +24,7 @@
     crash_guard: crashes.CrashGuard
     fairness: fairness_module.FairnessTracker
     event_log: stalls.EventLog
+    event_format: events.EventFormat
 
     def start_attempt(
         self,
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -14,6 +14,7 @@
 from bambooring.forwarding import decisions
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.forwarding import errors
+from bambooring.forwarding import events
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import pending_request
@@ -60,6 +61,7 @@
         self.balancer = balancer
         self.fairness = fairness_module.FairnessTracker()
         self.event_log = stalls.EventLog()
+        self.event_format = events.EventFormat(dialect.event_fields)
         self.policy_table: policy_state.PolicyTable | None = None
         self._dialect = dialect
         self._lease = lease
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -31,6 +31,8 @@
 class Dialect:
     """A minimal protocol: the path selects the route, headers do the rest."""
 
+    event_fields: tuple[bytes, ...] = ()
+
     def read_request(self, request):
         """Decode a caller's request."""
         return messages.CallerRequest(
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -423,3 +423,18 @@
         (b'200', body),
         (b'502', b'target_failed\n'),
     )
+
+
+# Callers found the head of a second answer in an event.
+@pytest.mark.parametrize('text', [b'id: 4\ndata: x', b'id: 4\ndata: '])
+def test_second_head_in_lower_case_is_no_part_of_an_event(make_harness, text):
+    """The names of a head may be in any case."""
+    first = _frame([*EVENTS, text], 'none', b'Stream: 1')
+    second = (
+        b'HTTP/1.1 200 OK\r\nattempt-id: 7\r\nsigned: 1\r\n'
+        b'content-type: text/event-stream\r\n\r\n' + b''.join(EVENTS)
+    )
+    rest = _frame([b'id: 4\ndata: x\n\n'], 'length', b'Stream: 1')
+    harness = make_harness(RawTarget(first + second), RawTarget(rest))
+    status, body, _ = _ask(harness, b'/talk/1')
+    assert b'HTTP' not in body
