Pass on comments of a stream with the event that follows them

What callers would have seen: comments of a failed attempt before the events of the next one. A stalled stream with comments counted as alive, and a suspect as cleared.

Cause: a comment was passed on and counted like an event: as the beginning of an answer and as progress of a stream that may be stalled.

Change: comments are kept, within the size of one event, and passed on with the next event of the same response. Those after the last event are dropped.

After: the forwarding tests pass.

Conclusion: a byte that completes no event is no progress.

--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -100,6 +100,7 @@
 
     __slots__ = (
         '_buffer',
+        '_comments',
         '_counts',
         '_delivered',
         '_event_format',
@@ -116,6 +117,8 @@
         """
         self._event_format = event_format
         self._buffer = bytearray()
+        # Comments before the next event, with which they are passed on.
+        self._comments = bytearray()
         self._counts = EventCounts()
         self._delivered = delivered
         self._is_continuation = delivered.last_id is not None
@@ -151,12 +154,19 @@
             del self._buffer[:end]
             event_id = self._event_format.read_id(event)
             if event_id is None and _is_comment(event):
-                yield event
+                self._add_comment(event)
                 continue
             last_id = self._counts.last_id
             self._counts.add(event_id)
             if self._accept_event(event_id, last_id):
-                yield event
+                yield bytes(self._comments) + event
+            self._comments.clear()
+
+    def _add_comment(self, comment: bytes) -> None:
+        """Keep a comment, which is no progress, until an event follows."""
+        self._comments += comment
+        if len(self._comments) > const.MAX_EVENT_BYTES:
+            raise errors.EventStreamError('comments exceed the size limit')
 
     def _accept_event(
         self, event_id: int | None, last_id_here: int | None
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -438,3 +438,14 @@
     harness = make_harness(RawTarget(first + second), RawTarget(rest))
     status, body, _ = _ask(harness, b'/talk/1')
     assert b'HTTP' not in body
+
+
+# Callers got an empty stream that looked whole.
+@pytest.mark.parametrize('text', [b': wait\n\n', b'\n\n'])
+def test_stream_of_comments_alone_has_broken_off(make_harness, text):
+    """A comment is no event, so that nothing shows a whole stream."""
+    cut = RawTarget(_frame([text], 'none', b'Stream: 1'))
+    sound = RawTarget(_frame(EVENTS, 'none', b'Stream: 1'))
+    harness = make_harness(cut, sound)
+    status, body, _ = _ask(harness, b'/talk/1')
+    assert status == b'200' and body.count(b'id: ') == 3
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_events.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_events.py
@@ -141,3 +141,20 @@
     stream = events.EventReader(events.DeliveredEvents(None), FORMAT)
     data = b': wait\n\nid: 2\ndata: x\n\n: wait\n\nid: 7\ndata: x\n\n'
     assert b''.join(_feed(stream, data)) == data
+
+
+# Callers found the comments of a failed answer before the next answer, and a
+# stalled stream counted as alive.
+def test_comment_is_passed_on_with_the_event_behind_it():
+    """A comment alone is neither a part of a stream nor progress."""
+    stream = events.EventReader(events.DeliveredEvents(None), FORMAT)
+    assert not _feed(stream, b': wait\n\n: wait\n\n')
+    assert _feed(stream, b'id: 1\n\n') == [b': wait\n\n: wait\n\nid: 1\n\n']
+    assert _feed(stream, b'id: 2\n\n') == [b'id: 2\n\n']
+
+
+def test_comments_without_end_end_the_attempt():
+    """They are kept, so their size is bounded."""
+    stream = events.EventReader(events.DeliveredEvents(None), FORMAT)
+    with pytest.raises(errors.EventStreamError):
+        _feed(stream, b': wait\n\n' * 10_000)
