--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -41,7 +41,7 @@
             path=request.target,
             api_key=None,
             time_left_s=float(request.get(b'left') or b'5'),
-            last_event_id=None,
+            last_event_id=int(request.get(b'last') or b'0') or None,
             prompt_tokens=1,
             prompt_parts=tuple(
                 (request.get(b'parts') or b'').decode().split()
@@ -360,15 +360,30 @@
             )
 
     def send_request(
-        self, path, time_left=b'5', *, parts=b'', body=b'hi', attempt_id=b'7'
+        self,
+        path,
+        time_left=b'5',
+        *,
+        parts=b'',
+        body=b'hi',
+        attempt_id=b'7',
+        last_event_id=0,
     ):
         """Send a request and return its socket."""
         sock = socket.create_connection(('127.0.0.1', self.caller_server.port))
         sock.setblocking(False)
         sock.send(
             b'POST %b HTTP/1.1\r\nHost: h\r\nId: %b\r\nLeft: %b\r\n'
-            b'Parts: %b\r\nContent-Length: %d\r\n\r\n%b'
-            % (path, attempt_id, time_left, parts, len(body), body)
+            b'Parts: %b\r\nLast: %d\r\nContent-Length: %d\r\n\r\n%b'
+            % (
+                path,
+                attempt_id,
+                time_left,
+                parts,
+                last_event_id,
+                len(body),
+                body,
+            )
         )
         return sock
 
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -5,98 +5,14 @@
 """
 
 import contextlib
-import selectors
-import socket
-import struct
 
 import pytest
 
 from bambooring.forwarding.tests import harness as harness_module
-from bambooring.targets import messages as targets
+from bambooring.forwarding.tests import raw_targets as raw
 
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 BODY = b'whole answer'
 EVENTS = [b'id: %d\ndata: x\n\n' % number for number in range(1, 4)]
-FRAMINGS = ['length', 'chunks', 'none']
-
-
-class RawTarget:
-    """A target that sends some bytes and ends the connection."""
-
-    def __init__(self, answer=b'', is_reset=False):
-        self.answer = answer
-        self.is_reset = is_reset
-        self.requests = []
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self._listener.setblocking(False)
-        self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
-
-    def open(self, reactor):
-        """Accept connections."""
-        self._reactor = reactor
-        reactor.watch(self._listener, selectors.EVENT_READ, self._accept)
-
-    def close(self):
-        """Refuse further connections."""
-        self._reactor.unwatch(self._listener)
-        self._listener.close()
-
-    def _accept(self, events):
-        sock, _ = self._listener.accept()
-        sock.setblocking(False)
-        request = bytearray()
-        self._reactor.watch(
-            sock,
-            selectors.EVENT_READ,
-            lambda events: self._receive(sock, request),
-        )
-
-    def _receive(self, sock, request):
-        received = sock.recv(65536)
-        request += received
-        if not received:
-            self._end(sock)
-        elif request.endswith(b'\r\n\r\nhi'):
-            self.requests.append(bytes(request))
-            unsent = bytearray(self.answer)
-            self._reactor.watch(
-                sock,
-                selectors.EVENT_WRITE,
-                lambda events: self._send(sock, unsent),
-            )
-
-    def _send(self, sock, unsent):
-        with contextlib.suppress(OSError):
-            del unsent[: sock.send(unsent)]
-            if unsent:
-                return
-            if self.is_reset:
-                sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
-        self._end(sock)
-
-    def _end(self, sock):
-        self._reactor.unwatch(sock)
-        sock.close()
-
-
-def _make_head(status, *headers):
-    lines = [b'HTTP/1.1 %d X' % status, b'Id: 7', b'Signed: 1', *headers]
-    return b'\r\n'.join(lines) + b'\r\n\r\n'
-
-
-def _frame(parts, framing, *headers):
-    """Return an answer whose body has some parts."""
-    body = b''.join(parts)
-    if framing == 'length':
-        length = b'Content-Length: %d' % len(body)
-        return _make_head(200, length, *headers) + body
-    if framing == 'chunks':
-        chunks = [b'%x\r\n%b\r\n' % (len(part), part) for part in parts]
-        head = _make_head(200, b'Transfer-Encoding: chunked', *headers)
-        return head + b''.join(chunks) + b'0\r\n\r\n'
-    return _make_head(200, *headers) + body
 
 
 @pytest.fixture
@@ -106,22 +22,7 @@
 
         def make(*raw_targets):
             harness = harness_module.Harness(stack)
-            for target in raw_targets:
-                target.open(harness.reactor)
-                stack.callback(target.close)
-            harness.balancer.set_targets(
-                targets.Target(
-                    id=f't{index}',
-                    service='app',
-                    address=target.address,
-                    failure_domain='a' if index == 0 else 'b',
-                    slots=4,
-                    state=targets.State.READY,
-                    born_ms=1,
-                    sequence=1,
-                )
-                for index, target in enumerate(raw_targets)
-            )
+            raw.open_targets(harness, stack, raw_targets)
             return harness
 
         yield make
@@ -169,13 +70,13 @@
 
 # Callers got 200 with a short or empty body after a target had stopped in the
 # middle of its head or body.
-@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('framing', raw.FRAMINGS)
 @pytest.mark.parametrize('is_reset', [False, True])
 def test_cut_plain_answer_does_not_look_whole(make_harness, framing, is_reset):
     """Only the end of a connection may end an answer without a length."""
-    answer = _frame([BODY], framing)
+    answer = raw.frame([BODY], framing)
     head_size = answer.index(b'\r\n\r\n') + 4
-    target = RawTarget(is_reset=is_reset)
+    target = raw.RawTarget(is_reset=is_reset)
     harness = make_harness(target)
     for size in range(len(answer)):
         target.answer = answer[:size]
@@ -192,14 +93,14 @@
 
 
 # Streams that ended inside an event looked complete to callers.
-@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('framing', raw.FRAMINGS)
 @pytest.mark.parametrize('is_reset', [False, True])
 def test_cut_stream_does_not_look_whole(make_harness, framing, is_reset):
     """A stream without a length is whole only if it ends after an event."""
-    answer = _frame(EVENTS, framing, b'Stream: 1')
+    answer = raw.frame(EVENTS, framing, b'Stream: 1')
     head_size = answer.index(b'\r\n\r\n') + 4
     ends = {head_size + len(b''.join(EVENTS[:count])) for count in range(4)}
-    target = RawTarget(is_reset=is_reset)
+    target = raw.RawTarget(is_reset=is_reset)
     harness = make_harness(target)
     for size in [*range(0, head_size, 8), *range(head_size, len(answer))]:
         target.answer = answer[:size]
@@ -214,14 +115,18 @@
         assert body.count(b'id: ') == 3
 
 
-@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('framing', raw.FRAMINGS)
 def test_stream_that_ends_inside_an_event_goes_on_elsewhere(
     make_harness, framing
 ):
     """Also one whose framing says that it is complete."""
-    cut = RawTarget(_frame([*EVENTS, b'id: 4\nda'], framing, b'Stream: 1'))
+    cut = raw.RawTarget(
+        raw.frame([*EVENTS, b'id: 4\nda'], framing, b'Stream: 1')
+    )
     rest = [b'id: 4\ndata: x\n\n', b'id: 5\ndata: x\n\n']
-    harness = make_harness(cut, RawTarget(_frame(rest, framing, b'Stream: 1')))
+    harness = make_harness(
+        cut, raw.RawTarget(raw.frame(rest, framing, b'Stream: 1'))
+    )
     status, body, is_whole = _ask(harness, b'/talk/1')
     assert (status, is_whole) == (b'200', True)
     counts = [body.count(b'id: %d\n' % number) for number in range(1, 6)]
@@ -230,14 +135,14 @@
 
 # Callers found the first bytes of a broken answer before the whole one that
 # another target sent.
-@pytest.mark.parametrize('framing', FRAMINGS)
+@pytest.mark.parametrize('framing', raw.FRAMINGS)
 @pytest.mark.parametrize('is_reset', [False, True])
 def test_attempt_that_broke_off_leaves_nothing_in_the_next_answer(
     make_harness, framing, is_reset
 ):
     """Wherever the first event breaks off, its bytes are dropped."""
-    whole = _frame(EVENTS, framing, b'Stream: 1')
-    cut, sound = RawTarget(is_reset=is_reset), RawTarget(whole)
+    whole = raw.frame(EVENTS, framing, b'Stream: 1')
+    cut, sound = raw.RawTarget(is_reset=is_reset), raw.RawTarget(whole)
     harness = make_harness(cut, sound)
     head_size = whole.index(b'\r\n\r\n') + 4
     for size in range(head_size, whole.index(b'\n\n', head_size) + 2):
@@ -264,8 +169,10 @@
     headers = [b'Content-Type: text/plain']
     if framing == 'length':
         headers.append(b'Content-Length: %d' % len(text))
-    cut = RawTarget(_frame([*EVENTS, b'id: 4'], 'chunks', b'Stream: 1')[:-9])
-    error = RawTarget(_make_head(status, *headers) + text)
+    cut = raw.RawTarget(
+        raw.frame([*EVENTS, b'id: 4'], 'chunks', b'Stream: 1')[:-9]
+    )
+    error = raw.RawTarget(raw.make_head(status, *headers) + text)
     harness = make_harness(cut, error)
     caller_status, body, is_whole = _ask(harness, b'/talk/1')
     assert (caller_status, is_whole) == (b'200', False)
@@ -279,7 +186,7 @@
     """Nothing of a stream was sent, so the caller gets the target's error."""
     text = b'error text\n\n' * count + b'end'
     length = b'Content-Length: %d' % len(text)
-    harness = make_harness(RawTarget(_make_head(500, length) + text))
+    harness = make_harness(raw.RawTarget(raw.make_head(500, length) + text))
     status, body, is_whole = _ask(harness, b'/talk/1')
     assert (status, is_whole) == (b'500', True)
     assert (_join_chunks(body) if count > 1 else body) == text
@@ -293,7 +200,7 @@
     refusal = (
         b'HTTP/1.1 503 X\r\nId: 6\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
     )
-    target = RawTarget(refusal + _frame([BODY], 'length'))
+    target = raw.RawTarget(refusal + raw.frame([BODY], 'length'))
     harness = make_harness(target)
     status, body, _ = _ask(harness, path)
     assert status == b'502'
@@ -305,7 +212,7 @@
     refusal = (
         b'HTTP/1.1 503 X\r\nId: 7\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
     )
-    target = RawTarget(_frame([BODY], 'length') + refusal)
+    target = raw.RawTarget(raw.frame([BODY], 'length') + refusal)
     harness = make_harness(target)
     for _ in range(3):
         status, body, _ = _ask(harness, b'/book/1')
