--- a/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
@@ -51,16 +51,20 @@
         self._service = service
         self._handle_first_event = handle_first_event
         self._handle_stall = handle_stall
-        self._reader = events.EventReader(
-            caller.delivered_events, is_continuation=caller.is_started
-        )
+        self._reader = events.EventReader(caller.delivered_events)
         self._last_event_s: float | None = None
         self._stall_watch: stalls.StallWatch | None = None
 
     @property
-    def has_partial_event(self) -> bool:
-        """Return whether the stream has ended inside an event."""
-        return self._reader.has_partial_event
+    def has_broken_off(self) -> bool:
+        """Return whether a stream that has ended can't be whole.
+
+        One without a length ends in the same way if its target fails, so that
+        at least one event has to have come.
+        """
+        if self._reader.has_partial_event:
+            return True
+        return not self._attempt.has_length and self._last_event_s is None
 
     @property
     def counts(self) -> events.EventCounts:
@@ -71,7 +75,7 @@
         """Pass on the events that a part of the body completes.
 
         :param data: the part of the body
-        :raises StreamGapError: if what follows them can't be passed on
+        :raises EventStreamError: if what follows them can't be passed on
         """
         complete_events: list[bytes] = []
         try:
