--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -158,12 +158,12 @@
     make_harness, has_same_content
 ):
     """Without a length, the second answer is behind the first one's events."""
-    whole = _frame(EVENTS, 'none', b'Stream: 1')
+    whole = raw.frame(EVENTS, 'none', b'Stream: 1')
     second = whole
     if not has_same_content:
         second = whole.replace(b'data: x', b'data: y')
-    rest = RawTarget(_frame([], 'length', b'Stream: 1'))
-    harness = make_harness(RawTarget(whole + second), rest)
+    rest = raw.RawTarget(raw.frame([], 'length', b'Stream: 1'))
+    harness = make_harness(raw.RawTarget(whole + second), rest)
     status, body, is_whole = _ask(harness, b'/talk/1')
     assert (status, is_whole) == (b'200', True)
     assert _join_chunks(body) == b''.join(EVENTS)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_stutter.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_stutter.py
@@ -11,6 +11,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import os
 
 import hypothesis
@@ -528,11 +529,11 @@
 
 
 @strategies.composite
-def _draw_answers(draw):
+def _draw_answers(draw, errors=(400, 404, 500)):
     status, is_refusal = draw(
         strategies.sampled_from(
             [(200, False)] * 8
-            + [(status, False) for status in (400, 404, 500, 503, 429, 408)]
+            + [(status, False) for status in errors]
             + [(503, True), (503, True), (421, True)]
         )
     )
@@ -568,18 +569,27 @@
     )
 
 
+def _draw(test, **kwargs):
+    """Draw the kind of request, the answers, and the last event id."""
+    path = strategies.sampled_from(
+        [b'/read/1', b'/book/1', b'/tell/1', b'/talk/1']
+    )
+    answers = strategies.lists(_draw_answers(**kwargs), min_size=1, max_size=3)
+    test = hypothesis.given(path, answers, strategies.sampled_from([0, 0, 4]))(
+        test
+    )
+    if SEED:
+        test = hypothesis.seed(SEED)(test)
+    return hypothesis.settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=not SEED,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )(test)
+
+
 # Callers got events of several answers mixed, or an answer that wasn't whole.
-@hypothesis.settings(
-    max_examples=EXAMPLES,
-    deadline=None,
-    derandomize=not SEED,
-    suppress_health_check=[hypothesis.HealthCheck.too_slow],
-)
-@hypothesis.given(
-    strategies.sampled_from([b'/read/1', b'/book/1', b'/tell/1', b'/talk/1']),
-    strategies.lists(_draw_answers(), min_size=1, max_size=3),
-    strategies.sampled_from([0, 0, 4]),
-)
+@_draw
 def test_callers_get_their_own_answers_whole(path, answers, last_id):
     """Whatever targets write, and wherever they stop."""
     response, runs = play(path, [*answers, Answer()], last_id)
@@ -588,10 +598,11 @@
         assert response.body == runs[0].body
 
 
-if SEED:
-    test_callers_get_their_own_answers_whole = hypothesis.seed(SEED)(
-        test_callers_get_their_own_answers_whole
-    )
+# Callers were told that their bookings had not run, though nothing said so.
+@functools.partial(_draw, errors=PROMISES)
+def test_callers_are_promised_only_what_is_known(path, answers, last_id):
+    """Also if targets answer with a status that is a promise to callers."""
+    play(path, [*answers, Answer()], last_id)
 
 
 # Callers got the head of a second answer, and its events, as events.
