Let a poll fail that an order cuts short

After an order was answered while an agent read its rank's experts, the agent never read them again, so the leading replica kept an old layout of the rank for as long as the agent ran.

Cause: once an order is answered, the agent polls over the order's connection and closed the one before. A call under way there got no response and no failure, and the agent waited for it for good.

Change: the connection is aborted, and a call under way fails, as it does after a timeout.

Evidence: test_order_while_experts_are_read failed before with "condition not met in time" at the second reading of the experts; it passes now.

--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -157,7 +157,8 @@
 
         It goes over a new connection, over which the engine is polled from
         then on: nothing that the engine told before the order, not even a late
-        copy of it, can be taken for its state after the order.
+        copy of it, can be taken for its state after the order. A poll under
+        way fails.
 
         :param order: the order
         :param callback: is called with the response
@@ -165,8 +166,9 @@
         connection = self._make_connection()
 
         def handle_response(status: int, body: bytes) -> None:
-            self._poll_connection.close()
+            previous_connection = self._poll_connection
             self._poll_connection = connection
+            previous_connection.abort()
             callback(status, body)
 
         call = self._dialect.make_order_call(order)
--- a/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
@@ -200,12 +200,15 @@
         self.paths.append(exchange.request.target)
         self.orders += exchange.request.target.startswith('/order')
         connection = exchange._connection
-        body = b'%d' % self.orders
+        body = self._make_body(exchange.request.target)
         # The copy comes first, so that it is taken for the answer.
         late = self.last_bodies.get(connection, body)
         self.last_bodies[connection] = body
         exchange.respond(200, [], late)
 
+    def _make_body(self, path):
+        return b'%d' % self.orders
+
 
 def test_late_copy_of_an_older_state():
     """A state that was read before an order isn't reported as one after it.
@@ -238,3 +241,61 @@
     state.step = int(body)
     state.layout_version = 0
     return state
+
+
+class _HoldingEngine(_Engine):
+    """Keep the answers to some calls back until the test sends them."""
+
+    def __init__(self, reactor, path):
+        super().__init__(reactor, 200)
+        self.path = path
+        self.held = []
+
+    def _handle(self, exchange):
+        self.paths.append(exchange.request.target)
+        if exchange.request.target == self.path:
+            self.held.append(exchange)
+        else:
+            exchange.respond(200, [], b'state')
+
+
+@contextlib.contextmanager
+def _run_holding(path):
+    """Yield an agent whose engine keeps the answers to one path back."""
+    with reactor_module.Reactor() as reactor:
+        engine = _HoldingEngine(reactor, path)
+        with engine.server:
+            agent = _make_agent(reactor, engine.address)
+            agent._dialect.make_experts_call = lambda: _make_call('/experts')
+            yield reactor, agent, engine
+
+
+def _run_until(reactor, condition):
+    for _ in range(MAX_ITERATIONS):
+        if condition():
+            return
+        reactor.call_later(0.001, lambda: None)
+        reactor.run_once()
+    raise AssertionError('condition not met in time')
+
+
+# A rank's experts were never read again after an order had been answered while
+# they were being read.
+def test_order_while_experts_are_read():
+    """The call that the order cuts short has failed, and is made again."""
+    with _run_holding('/experts') as (reactor, agent, engine):
+        agent._dialect.read_state = _read_other_map
+        agent._poll_state()
+        _run_until(reactor, lambda: engine.held)
+        link = _Link()
+        agent.handle_message(link, ORDER)
+        _run_until_sent(reactor, link)
+        agent._poll_state()
+        _run_until(reactor, lambda: len(engine.held) == 2)
+
+
+def _read_other_map(target, service, body):
+    """Return a state with a map whose experts the agent hasn't read."""
+    state = _Dialect().read_state(target, service, body)
+    state.version = 1
+    return state
--- a/packages/core/src/bambooring_core/http1/kept.py
+++ b/packages/core/src/bambooring_core/http1/kept.py
@@ -101,6 +101,10 @@
         self._callback = None
         self._drop()
 
+    def abort(self) -> None:
+        """Close the connection; a call under way fails."""
+        self._fail()
+
     def _connect(self) -> None:
         self._http = h11.Connection(h11.CLIENT)
         self._socket = client.open_socket()
