Read the state after an order over a connection of its own

The outcome of an order to a rank was never reported if its engine sent a second copy of the response to it, late: the agent reads the state over the order's connection at once, and took the copy, which has no state, for it. The outcome was also lost if the next order was answered meanwhile, since that replaces the connection. The coordinator then waits for its timeout and sends the order again.

Ruled out: a copy taken for the response to an order. Each order has a connection of its own, so its first response is its own.

Change: this state is read by a call of its own, as polls are if one is under way. That is one more connection to the own engine for each order.

Evidence: test_late_copy_of_the_response_to_an_order failed before with "nothing was sent", test_each_order_has_its_outcome_reported with "condition not met in time"; both pass now.

--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -294,7 +294,11 @@
                 status=status,
                 outcome=outcome,
             )
-            self._poll(
+            # On its own connection: a late copy of the order's response isn't
+            # taken for the state, and the next order doesn't cut it short.
+            calls.EngineCall(
+                self._reactor,
+                self._settings.engine_address,
                 self._dialect.make_state_call(),
                 lambda status, body: self._report_outcome(
                     link, order, outcome, self._read_state(status, body)
--- a/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
@@ -1,6 +1,7 @@
 """Test the agent of a rank with engines on loopback sockets."""
 
 import contextlib
+import dataclasses
 import typing
 from unittest import mock
 
@@ -210,6 +211,13 @@
         return b'%d' % self.orders
 
 
+class _RepeatingOrders(_RepeatingEngine):
+    """Name the kind of call in each response."""
+
+    def _make_body(self, path):
+        return b'order' if path.startswith('/order') else b'state'
+
+
 def test_late_copy_of_an_older_state():
     """A state that was read before an order isn't reported as one after it.
 
@@ -294,6 +302,43 @@
         _run_until(reactor, lambda: len(engine.held) == 2)
 
 
+# The outcome of an order was never reported, because the next order was
+# answered while the state after the first was being read.
+def test_each_order_has_its_outcome_reported():
+    """Also if the engine answers two orders before it tells its state."""
+    with _run_holding('/state') as (reactor, agent, engine):
+        link = _Link()
+        for order in (ORDER, dataclasses.replace(ORDER, order=8)):
+            agent.handle_message(link, order)
+        _run_until(reactor, lambda: len(engine.held) >= 2)
+        for exchange in engine.held:
+            exchange.respond(200, [], b'state')
+        _run_until(reactor, lambda: len(link.sent) == 2)
+        assert {done.order for done in link.sent} == {7, 8}
+
+
+# The outcome of an order was never reported: a second copy of the response to
+# it was taken for the state that was read after it.
+def test_late_copy_of_the_response_to_an_order():
+    """The copy comes when the next call over its connection has been made."""
+    with reactor_module.Reactor() as reactor:
+        engine = _RepeatingOrders(reactor)
+        with engine.server:
+            agent = _make_agent(reactor, engine.address)
+            agent._dialect.read_state = _read_told_state
+            link = _Link()
+            agent.handle_message(link, ORDER)
+            (done,) = _run_until_sent(reactor, link)
+            assert done.order == 7
+
+
+def _read_told_state(target, service, body):
+    """Return the state, or None if the response is to another call."""
+    if body != b'state':
+        return None
+    return _Dialect().read_state(target, service, body)
+
+
 def _read_other_map(target, service, body):
     """Return a state with a map whose experts the agent hasn't read."""
     state = _Dialect().read_state(target, service, body)
