Test what a late copy of a response does to a kept connection

A copy that comes when the next call has been sent is taken for its answer; the answer that it displaced ends the connection, so that one call at most is spoilt if that answer comes before the next call. A copy between two calls ends the connection. No code changes.

--- a/packages/core/src/bambooring_core/http1/tests/test_kept.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_kept.py
@@ -265,3 +265,51 @@
         server.connections[0].close()
         server.run_until(lambda: results)
         assert results == [(status, b'part')]
+
+
+# A second copy of a response was taken for the answers to later calls.
+@pytest.mark.parametrize('is_apart', [False, True])
+def test_late_copy_spoils_one_call_at_most(is_apart):
+    """The answer that it displaced ends the connection.
+
+    The copy itself can't be told from an answer, see the module.
+    """
+    with _open() as (server, connection):
+        responses: list[tuple[int, bytes]] = []
+        _call(connection, '/1', responses)
+        server.read_request(0)
+        server.connections[0].send(OK + b'a1')
+        server.run_until(lambda: connection.is_idle)
+        _call(connection, '/2', responses)
+        server.read_request(0)
+        if is_apart:
+            server.connections[0].send(OK + b'a1')
+            server.run_until(lambda: connection.is_idle)
+            server.connections[0].send(OK + b'a2')
+            server.run_until(lambda: connection._socket is None)
+        else:
+            server.connections[0].send(OK + b'a1' + OK + b'a2')
+            server.run_until(lambda: connection.is_idle)
+        _call(connection, '/3', responses)
+        server.read_request(1)
+        server.connections[1].send(OK + b'a3')
+        server.run_until(lambda: connection.is_idle)
+        assert responses == [(200, b'a1'), (200, b'a1'), (200, b'a3')]
+
+
+# A copy came before the next call, which then took it for its answer.
+def test_copy_between_two_calls_ends_the_connection():
+    """Nothing is read from a connection that no call waits for."""
+    with _open() as (server, connection):
+        responses: list[tuple[int, bytes]] = []
+        _call(connection, '/1', responses)
+        server.read_request(0)
+        server.connections[0].send(OK + b'a1')
+        server.run_until(lambda: connection.is_idle)
+        server.connections[0].send(OK + b'a1')
+        server.run_until(lambda: connection._socket is None)
+        _call(connection, '/2', responses)
+        server.read_request(1)
+        server.connections[1].send(OK + b'a2')
+        server.run_until(lambda: connection.is_idle)
+        assert responses == [(200, b'a1'), (200, b'a2')]
