Call what follows a quarantine a probe

The code and pages about requests that crash targets spoke of acquittal, guilt, trial, judge and verdict. The field's words are probe (one request let through, as of a half-open circuit breaker), cleared, suspect, quarantine and decision; they are used now for all that stays inside a process, in comments, tests and pages. `Verdict` is `Decision`, and its field `status` has one of the values of `Status`.

Names that leave the process stay: the classes and fields of messages (`Acquittal`, `Trial`, `acquittals`, `trials`), the log events `suspect tried` and `suspect acquitted`, the metric `bambooring_suspect_trials_total`.

Ruled out: renaming the messages, which would change what instances of two releases tell each other.

Behaviour is unchanged.

--- a/packages/bambooring/src/bambooring/crashes/const.py
+++ b/packages/bambooring/src/bambooring/crashes/const.py
@@ -19,7 +19,7 @@
 ANSWERED_PART_OUTAGE_S: typing.Final = 5.0
 NEW_PART_OUTAGE_S: typing.Final = 1.0
 
-# The first quarantine of a cause. A request on trial that crashes one rank of
+# The first quarantine of a cause. A probe that crashes one rank of
 # a model group stops all of its callers, so a suspect waits longer there.
 TARGET_QUARANTINE_S: typing.Final = 2.0
 GROUP_QUARANTINE_S: typing.Final = 30.0
@@ -29,11 +29,11 @@
 # Until an instance has seen answers for this long, most parts are new to it.
 HISTORY_MIN_S: typing.Final = 3.0
 
-# After a quarantine one request is tried at a time. Without a result the next
-# one may be tried after this time.
-TRIAL_TIMEOUT_S: typing.Final = 5.0
+# After a quarantine one probe is sent at a time. Without a result the next one
+# may be sent after this time.
+PROBE_TIMEOUT_S: typing.Final = 5.0
 
-# A crash is forgotten after this time; a quarantine and the trial after it
+# A crash is forgotten after this time; a quarantine and the probe after it
 # must have ended before.
 CRASH_TTL_S: typing.Final = 900.0
 MAX_CRASHES: typing.Final = 256
--- a/packages/bambooring/src/bambooring/crashes/messages.py
+++ b/packages/bambooring/src/bambooring/crashes/messages.py
@@ -51,7 +51,7 @@
 @codec.register(SCHEMA)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Acquittal:
-    """A cause that was answered after crashes, so it didn't cause them."""
+    """A cause cleared of crashes, because it was answered after them."""
 
     key: int
     crash_ids: list[int]
@@ -60,7 +60,7 @@
 @codec.register(SCHEMA)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Trial:
-    """A request with a suspect is tried; for no time if its trial is over."""
+    """A probe of a suspect; without time left it is over."""
 
     key: int
     time_left_ms: int
--- a/packages/bambooring/src/bambooring/crashes/state.py
+++ b/packages/bambooring/src/bambooring/crashes/state.py
@@ -1,13 +1,14 @@
-"""Keep what is known of crashes, and judge requests by it.
+"""Keep what is known of crashes, and decide on requests by it.
 
 What may have crashed a target is what it was about to answer: the parts of
 the prompts of those requests, and each request as a whole. A cause that is
-answered after a crash is acquitted of it. What remains is quarantined for a
-time; then one request with it is tried, so that a sound cause is acquitted and
-a guilty one crashes one target more.
+answered after a crash is cleared of it. What remains is quarantined for a
+time; then one request with it is sent as a probe, so that a sound cause is
+cleared and a deadly one crashes one target more.
 
 All instances keep the same crashes. Their news may be merged repeatedly, late
-and in any order: crashes and acquittals only accumulate until they expire.
+and in any order: crashes, and what was cleared of them, only accumulate until
+they expire.
 """
 
 import collections.abc
@@ -19,21 +20,21 @@
 from bambooring.crashes import messages
 
 
-class Decision(enum.Enum):
-    """What to do with a request.
+class Status(enum.Enum):
+    """Whether a request may be sent.
 
-    TRIAL allows to send it if nothing else with a suspect is being tried.
-    QUARANTINED and TRIAL_BUSY forbid to send it.
+    PROBE allows to send it as a probe, of which there is one at a time.
+    QUARANTINED and PROBE_BUSY forbid to send it.
     """
 
     CLEAR = enum.auto()
-    TRIAL = enum.auto()
-    TRIAL_BUSY = enum.auto()
+    PROBE = enum.auto()
+    PROBE_BUSY = enum.auto()
     QUARANTINED = enum.auto()
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Verdict:
+class Decision:
     """The decision on a request, and the suspect that it is due to.
 
     ``key`` is 0 without a suspect. ``crash_count`` are the crashes that the
@@ -41,7 +42,7 @@
     another one.
     """
 
-    decision: Decision
+    status: Status
     key: int = 0
     crash_count: int = 0
     wait_s: float = 0.0
@@ -49,10 +50,10 @@
     @property
     def is_forbidden(self) -> bool:
         """Return whether the request must not be sent for now."""
-        return self.decision in (Decision.TRIAL_BUSY, Decision.QUARANTINED)
+        return self.status in (Status.PROBE_BUSY, Status.QUARANTINED)
 
 
-CLEAR = Verdict(decision=Decision.CLEAR)
+CLEAR = Decision(status=Status.CLEAR)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -62,11 +63,11 @@
     at_s: float
     quarantine_s: float
     suspects: dict[int, messages.CauseKind]
-    acquitted: set[int]
+    cleared: set[int]
 
     def list_open(self) -> collections.abc.Iterator[int]:
-        """Yield the suspects that are not acquitted."""
-        return (key for key in self.suspects if key not in self.acquitted)
+        """Yield the suspects that are not cleared."""
+        return (key for key in self.suspects if key not in self.cleared)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -78,33 +79,33 @@
 
 
 class CrashLedger:
-    """Keep crashes and answered parts, and judge requests."""
+    """Keep crashes and answered parts, and decide on requests."""
 
     __slots__ = (
         '_answered_parts',
         '_crash_ids_by_key',
         '_crashes',
         '_first_answer_s',
-        '_trial_key',
-        '_trial_until_s',
+        '_probe_key',
+        '_probe_until_s',
     )
 
     def __init__(self) -> None:
         self._crashes: dict[int, _Crash] = {}
-        # By suspect: the crashes that it is not acquitted of.
+        # By suspect: the crashes that it is not cleared of.
         self._crash_ids_by_key: dict[int, set[int]] = {}
         # In order of the last answer, the latest at the end.
         self._answered_parts: dict[int, None] = {}
         self._first_answer_s: float | None = None
-        self._trial_key = 0
-        self._trial_until_s = 0.0
+        self._probe_key = 0
+        self._probe_until_s = 0.0
 
     def record_answer(
         self, causes: causes_module.Causes, now_s: float
     ) -> messages.CrashNews:
         """Record that a target began to answer a request.
 
-        :returns: the acquittals that others have to know of
+        :returns: what it clears, for others to know
         """
         parts = (*causes.shared_parts, *causes.own_parts)
         if parts and self._first_answer_s is None:
@@ -115,11 +116,11 @@
         for key in (*parts, causes.request):
             crash_ids = self._crash_ids_by_key.get(key)
             if crash_ids:
-                acquittal = messages.Acquittal(
+                clearing = messages.Acquittal(
                     key=key, crash_ids=sorted(crash_ids)
                 )
-                self._apply_acquittal(acquittal, now_s)
-                news.acquittals.append(acquittal)
+                self._apply_clearing(clearing, now_s)
+                news.acquittals.append(clearing)
         return news
 
     def _add_answered_part(self, key: int) -> None:
@@ -201,15 +202,15 @@
                     dataclasses.replace(crash, suspects=new_suspects)
                 )
                 reply.answered_keys += self._claim_answered(new_suspects)
-        for acquittal in news.acquittals:
-            if self._apply_acquittal(acquittal, now_s):
-                changed.acquittals.append(acquittal)
+        for clearing in news.acquittals:
+            if self._apply_clearing(clearing, now_s):
+                changed.acquittals.append(clearing)
         for key in (*news.answered_keys, *_list_answered(news.crashes)):
             if self._mark_answered(key):
                 changed.answered_keys.append(key)
-        for trial in news.trials:
-            if self._apply_trial(trial, now_s):
-                changed.trials.append(trial)
+        for probe in news.trials:
+            if self._apply_probe(probe, now_s):
+                changed.trials.append(probe)
         self._expire(now_s)
         return Merged(changed=changed, reply=reply)
 
@@ -235,12 +236,12 @@
                 break
             new_suspects.append(suspect)
             known.suspects[suspect.key] = suspect.kind
-            if suspect.key not in known.acquitted:
+            if suspect.key not in known.cleared:
                 self._crash_ids_by_key.setdefault(suspect.key, set()).add(
                     crash.id
                 )
-            if suspect.key == self._trial_key:
-                self._trial_until_s = now_s
+            if suspect.key == self._probe_key:
+                self._probe_until_s = now_s
         return new_suspects
 
     def _has_room(self, at_s: float, now_s: float) -> bool:
@@ -255,9 +256,7 @@
         return at_s > min(crash.at_s for crash in self._crashes.values())
 
     def _make_crash(self, at_s: float) -> _Crash:
-        return _Crash(
-            at_s=at_s, quarantine_s=0.0, suspects={}, acquitted=set()
-        )
+        return _Crash(at_s=at_s, quarantine_s=0.0, suspects={}, cleared=set())
 
     def _claim_answered(self, suspects: list[messages.Suspect]) -> list[int]:
         """Return the new parts of others that were answered here."""
@@ -269,24 +268,24 @@
         ]
         return [key for key in keys if self._mark_answered(key)]
 
-    def _apply_acquittal(
-        self, acquittal: messages.Acquittal, now_s: float
+    def _apply_clearing(
+        self, clearing: messages.Acquittal, now_s: float
     ) -> bool:
-        """Acquit a cause of crashes, also of those not known yet."""
+        """Clear a cause of crashes, also of those not known yet."""
         is_new = False
-        for crash_id in acquittal.crash_ids:
+        for crash_id in clearing.crash_ids:
             crash = self._crashes.setdefault(crash_id, self._make_crash(now_s))
-            if acquittal.key in crash.acquitted:
+            if clearing.key in crash.cleared:
                 continue
-            if len(crash.acquitted) >= const.MAX_SUSPECTS_PER_CRASH:
+            if len(crash.cleared) >= const.MAX_SUSPECTS_PER_CRASH:
                 continue
             is_new = True
-            crash.acquitted.add(acquittal.key)
-            self._drop_suspicion(acquittal.key, crash_id)
+            crash.cleared.add(clearing.key)
+            self._drop_suspicion(clearing.key, crash_id)
         if is_new:
-            self._mark_answered(acquittal.key)
-            if acquittal.key == self._trial_key:
-                self._trial_until_s = now_s
+            self._mark_answered(clearing.key)
+            if clearing.key == self._probe_key:
+                self._probe_until_s = now_s
         return is_new
 
     def _drop_suspicion(self, key: int, crash_id: int) -> None:
@@ -309,24 +308,24 @@
                 is_news = True
         return is_news
 
-    def _apply_trial(self, trial: messages.Trial, now_s: float) -> bool:
-        """Record that a trial begins or ends; return whether it is news."""
-        is_busy = now_s < self._trial_until_s
-        is_same = trial.key == self._trial_key
-        if not trial.time_left_ms:
+    def _apply_probe(self, probe: messages.Trial, now_s: float) -> bool:
+        """Record that a probe begins or ends; return whether it is news."""
+        is_busy = now_s < self._probe_until_s
+        is_same = probe.key == self._probe_key
+        if not probe.time_left_ms:
             if is_busy and is_same:
-                self._trial_until_s = now_s
+                self._probe_until_s = now_s
                 return True
             return False
         if is_busy and is_same:
             return False
-        self._trial_key = trial.key
-        self._trial_until_s = max(
-            self._trial_until_s, now_s + trial.time_left_ms / 1000
+        self._probe_key = probe.key
+        self._probe_until_s = max(
+            self._probe_until_s, now_s + probe.time_left_ms / 1000
         )
         return True
 
-    def judge(self, causes: causes_module.Causes, now_s: float) -> Verdict:
+    def decide(self, causes: causes_module.Causes, now_s: float) -> Decision:
         """Decide whether a request may be sent to a target."""
         suspects = [
             key
@@ -347,20 +346,20 @@
         is_sole = len(blamed_by_key) == 1
         longest = max(
             (
-                self._judge_cause(key, blamed, is_sole, now_s)
+                self._decide_on_cause(key, blamed, is_sole, now_s)
                 for key, blamed in blamed_by_key.items()
             ),
-            key=lambda verdict: verdict.wait_s,
+            key=lambda decision: decision.wait_s,
         )
         if longest.wait_s > 0:
             return longest
-        if now_s < self._trial_until_s:
+        if now_s < self._probe_until_s:
             return dataclasses.replace(
                 longest,
-                decision=Decision.TRIAL_BUSY,
-                wait_s=self._trial_until_s - now_s,
+                status=Status.PROBE_BUSY,
+                wait_s=self._probe_until_s - now_s,
             )
-        return dataclasses.replace(longest, decision=Decision.TRIAL)
+        return dataclasses.replace(longest, status=Status.PROBE)
 
     def _list_crashes_by(self, key: int) -> list[_Crash]:
         """Return the crashes that a suspect is blamed for."""
@@ -369,10 +368,10 @@
         )
         return [crash for crash in crashes if key in self._list_blamed(crash)]
 
-    def _judge_cause(
+    def _decide_on_cause(
         self, key: int, blamed: list[_Crash], is_sole: bool, now_s: float
-    ) -> Verdict:
-        """Return the verdict on one suspect.
+    ) -> Decision:
+        """Return the decision on one suspect.
 
         :param key: the suspect
         :param blamed: the crashes that it is blamed for
@@ -391,8 +390,8 @@
             quarantine_s = const.TARGET_QUARANTINE_S
         else:
             quarantine_s = last.quarantine_s
-        return Verdict(
-            decision=Decision.QUARANTINED,
+        return Decision(
+            status=Status.QUARANTINED,
             key=key,
             crash_count=len(blamed),
             wait_s=max(0.0, last.at_s + quarantine_s - now_s),
@@ -431,44 +430,44 @@
         outages = _count_outages(times_s, const.ANSWERED_PART_OUTAGE_S)
         return outages - const.ANSWERED_PART_OUTAGE_LIMIT
 
-    def begin_trial(self, key: int, now_s: float) -> messages.CrashNews:
+    def begin_probe(self, key: int, now_s: float) -> messages.CrashNews:
         """Record that a request with a suspect is sent to a target."""
-        return self._set_trial(key, const.TRIAL_TIMEOUT_S, now_s)
+        return self._set_probe(key, const.PROBE_TIMEOUT_S, now_s)
 
-    def end_trial(self, key: int, now_s: float) -> messages.CrashNews:
-        """Record that a trial ended without any result."""
-        if key != self._trial_key or now_s >= self._trial_until_s:
+    def end_probe(self, key: int, now_s: float) -> messages.CrashNews:
+        """Record that a probe ended without any result."""
+        if key != self._probe_key or now_s >= self._probe_until_s:
             return messages.CrashNews()
-        return self._set_trial(key, 0.0, now_s)
+        return self._set_probe(key, 0.0, now_s)
 
-    def _set_trial(
+    def _set_probe(
         self, key: int, time_left_s: float, now_s: float
     ) -> messages.CrashNews:
-        trial = messages.Trial(key=key, time_left_ms=round(time_left_s * 1000))
-        self._apply_trial(trial, now_s)
-        return messages.CrashNews(trials=[trial])
+        probe = messages.Trial(key=key, time_left_ms=round(time_left_s * 1000))
+        self._apply_probe(probe, now_s)
+        return messages.CrashNews(trials=[probe])
 
     def list_all(self, now_s: float) -> messages.CrashNews:
         """Return all that is known, for an instance that is newly linked."""
         self._expire(now_s)
         news = messages.CrashNews()
-        acquittals: dict[int, list[int]] = {}
+        crash_ids_by_key: dict[int, list[int]] = {}
         for crash_id, crash in self._crashes.items():
             open_keys = set(crash.list_open())
             if open_keys:
                 news.crashes.append(
                     self._describe(crash_id, crash, open_keys, now_s)
                 )
-            for key in crash.acquitted:
-                acquittals.setdefault(key, []).append(crash_id)
+            for key in crash.cleared:
+                crash_ids_by_key.setdefault(key, []).append(crash_id)
         news.acquittals = [
             messages.Acquittal(key=key, crash_ids=sorted(crash_ids))
-            for key, crash_ids in acquittals.items()
+            for key, crash_ids in crash_ids_by_key.items()
         ]
-        if now_s < self._trial_until_s:
-            left_ms = round((self._trial_until_s - now_s) * 1000)
+        if now_s < self._probe_until_s:
+            left_ms = round((self._probe_until_s - now_s) * 1000)
             news.trials.append(
-                messages.Trial(key=self._trial_key, time_left_ms=left_ms)
+                messages.Trial(key=self._probe_key, time_left_ms=left_ms)
             )
         return news
 
--- a/packages/bambooring/src/bambooring/crashes/task.py
+++ b/packages/bambooring/src/bambooring/crashes/task.py
@@ -20,7 +20,7 @@
 
     ``send_news`` sends news to all other instances. ``on_quarantine`` is
     called when a crash has become known, so that requests on their way can be
-    judged again.
+    checked again.
     """
 
     def __init__(
@@ -38,36 +38,36 @@
         self._waiting: dict[int, list[checks.ResultCallback]] = {}
         self.on_quarantine: collections.abc.Callable[[], None] = lambda: None
 
-    def judge(self, causes: causes_module.Causes) -> state.Verdict:
+    def decide(self, causes: causes_module.Causes) -> state.Decision:
         """Decide whether a request may be sent to a target."""
-        return self._ledger.judge(causes, self._reactor.now())
+        return self._ledger.decide(causes, self._reactor.now())
 
-    def begin_trial(self, verdict: state.Verdict, request_id: str) -> None:
-        """Record that a request on trial is sent to a target."""
+    def begin_probe(self, decision: state.Decision, request_id: str) -> None:
+        """Record that a probe is sent to a target."""
         LOG.info(
             'suspect tried',
             request=request_id,
-            suspect=_format_key(verdict.key),
-            crashes=verdict.crash_count,
+            suspect=_format_key(decision.key),
+            crashes=decision.crash_count,
         )
-        metrics.SUSPECT_TRIALS.inc()
-        self._send(self._ledger.begin_trial(verdict.key, self._reactor.now()))
+        metrics.SUSPECT_PROBES.inc()
+        self._send(self._ledger.begin_probe(decision.key, self._reactor.now()))
 
-    def end_trial(self, key: int) -> None:
-        """Record that a trial may end without a result.
+    def end_probe(self, key: int) -> None:
+        """Record that a probe may end without a result.
 
         Nothing changes if it had one.
         """
-        self._send(self._ledger.end_trial(key, self._reactor.now()))
+        self._send(self._ledger.end_probe(key, self._reactor.now()))
 
     def record_answer(self, causes: causes_module.Causes) -> None:
         """Record that a target began to answer a request."""
         news = self._ledger.record_answer(causes, self._reactor.now())
-        for acquittal in news.acquittals:
+        for clearing in news.acquittals:
             LOG.info(
                 'suspect acquitted',
-                suspect=_format_key(acquittal.key),
-                crashes=len(acquittal.crash_ids),
+                suspect=_format_key(clearing.key),
+                crashes=len(clearing.crash_ids),
                 source='own',
             )
         self._send(news)
@@ -173,11 +173,11 @@
             age_ms=crash.age_ms,
             source=source,
         )
-    for acquittal in news.acquittals:
+    for clearing in news.acquittals:
         LOG.info(
             'suspect acquitted',
-            suspect=_format_key(acquittal.key),
-            crashes=len(acquittal.crash_ids),
+            suspect=_format_key(clearing.key),
+            crashes=len(clearing.crash_ids),
             source=source,
         )
 
--- a/packages/bambooring/src/bambooring/crashes/tests/test_relay.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_relay.py
@@ -53,16 +53,16 @@
     assert links[1].sent == [news]
 
 
-# Two control replicas passed the end of a trial on to each other endlessly.
-def test_each_step_of_a_trial_is_passed_on_once():
-    """A trial begins, ends without a result, and another one begins."""
+# Two control replicas passed the end of a probe on to each other endlessly.
+def test_each_step_of_a_probe_is_passed_on_once():
+    """A probe begins, ends without a result, and another one begins."""
     links = [FakeLink(name) for name in ('entry1', 'entry2', 'control2')]
     relay = _make_relay(links)
     for time_left_ms in (5000, 0, 5000, 0):
-        trial = messages.Trial(key=7, time_left_ms=time_left_ms)
+        probe = messages.Trial(key=7, time_left_ms=time_left_ms)
         for _ in range(3):
-            relay.handle(links[0], messages.CrashNews(trials=[trial]))
-            relay.handle(links[2], messages.CrashNews(trials=[trial]))
+            relay.handle(links[0], messages.CrashNews(trials=[probe]))
+            relay.handle(links[2], messages.CrashNews(trials=[probe]))
     told = [news.trials[0].time_left_ms for news in links[1].sent]
     assert told == [5000, 0, 5000, 0]
 
@@ -105,11 +105,11 @@
     relay.send_all(link)
     ledger = state.CrashLedger()
     ledger.merge(link.sent[0], 20.0)
-    verdict = ledger.judge(CAUSES, 21.0)
-    assert verdict.decision is state.Decision.QUARANTINED
+    decision = ledger.decide(CAUSES, 21.0)
+    assert decision.status is state.Status.QUARANTINED
 
 
-def test_acquittal_that_overtakes_its_crash_is_kept():
+def test_clearing_that_overtakes_the_crash_is_kept():
     """News of two instances take different ways."""
     links = [FakeLink('entry1'), FakeLink('entry2')]
     relay = _make_relay(links)
@@ -125,4 +125,4 @@
     ledger = state.CrashLedger()
     for news in links[1].sent:
         ledger.merge(news, 20.0)
-    assert ledger.judge(CAUSES, 21.0) is state.CLEAR
+    assert ledger.decide(CAUSES, 21.0) is state.CLEAR
--- a/packages/bambooring/src/bambooring/crashes/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_state.py
@@ -65,18 +65,18 @@
     def decide(self, parts):
         """Return the decision on a request, the same at all instances."""
         decisions = {
-            ledger.judge(make_causes(parts), self.now_s).decision
+            ledger.decide(make_causes(parts), self.now_s).status
             for ledger in self.ledgers
         }
         assert len(decisions) == 1
         return decisions.pop()
 
     def try_request(self, parts, *, at=0):
-        """Begin a trial and tell all others."""
+        """Begin a probe and tell all others."""
         ledger = self.ledgers[at]
-        verdict = ledger.judge(make_causes(parts), self.now_s)
-        assert verdict.decision is state.Decision.TRIAL
-        self.tell(ledger, ledger.begin_trial(verdict.key, self.now_s))
+        decision = ledger.decide(make_causes(parts), self.now_s)
+        assert decision.status is state.Status.PROBE
+        self.tell(ledger, ledger.begin_probe(decision.key, self.now_s))
 
 
 @pytest.fixture
@@ -94,55 +94,55 @@
 def test_new_part_is_quarantined_at_all_instances_after_one_crash(fleet):
     """The parts that were answered before are not."""
     fleet.crash('system deadly one')
-    assert fleet.decide('system deadly two') is state.Decision.QUARANTINED
-    assert fleet.decide('other deadly three') is state.Decision.QUARANTINED
-    assert fleet.decide('system two') is state.Decision.CLEAR
-    assert fleet.decide('system deadly') is state.Decision.CLEAR
+    assert fleet.decide('system deadly two') is state.Status.QUARANTINED
+    assert fleet.decide('other deadly three') is state.Status.QUARANTINED
+    assert fleet.decide('system two') is state.Status.CLEAR
+    assert fleet.decide('system deadly') is state.Status.CLEAR
 
 
 def test_part_that_crashes_again_is_not_tried_for_long(fleet):
-    """At most two crashes: the first one, and that of the trial."""
+    """At most two crashes: the first one, and that of the probe."""
     fleet.crash('system deadly one')
     fleet.now_s += const.GROUP_QUARANTINE_S
     fleet.try_request('system deadly two')
-    assert fleet.decide('system deadly two') is state.Decision.TRIAL_BUSY
+    assert fleet.decide('system deadly two') is state.Status.PROBE_BUSY
     fleet.crash('system deadly two')
     for _ in range(59):
-        assert fleet.decide('system deadly 3') is state.Decision.QUARANTINED
+        assert fleet.decide('system deadly 3') is state.Status.QUARANTINED
         fleet.now_s += const.LATER_QUARANTINE_S / 60
     fleet.now_s += const.LATER_QUARANTINE_S / 60
-    assert fleet.decide('system deadly 3') is state.Decision.TRIAL
+    assert fleet.decide('system deadly 3') is state.Status.PROBE
 
 
-def test_sound_part_is_acquitted_by_its_trial(fleet):
+def test_sound_part_is_cleared_by_its_probe(fleet):
     """A target that was lost otherwise costs a new part one quarantine."""
     fleet.crash('system new one')
     fleet.now_s += const.GROUP_QUARANTINE_S
     fleet.try_request('system new two', at=2)
-    assert fleet.decide('system new three') is state.Decision.TRIAL_BUSY
+    assert fleet.decide('system new three') is state.Status.PROBE_BUSY
     fleet.answer('system new two', at=2)
-    assert fleet.decide('system new three') is state.Decision.CLEAR
+    assert fleet.decide('system new three') is state.Status.CLEAR
 
 
-def test_trial_without_result_makes_room_for_the_next(fleet):
-    """A refused trial ends at once, one that is lost after its timeout."""
+def test_probe_without_result_makes_room_for_the_next(fleet):
+    """A refused probe ends at once, one that is lost after its timeout."""
     fleet.crash('system new one')
     fleet.now_s += const.GROUP_QUARANTINE_S
     fleet.try_request('system new two')
     key = make_causes('new x').shared_parts[0]
-    news = fleet.ledgers[0].end_trial(key, fleet.now_s)
+    news = fleet.ledgers[0].end_probe(key, fleet.now_s)
     fleet.tell(fleet.ledgers[0], news)
     fleet.try_request('system new three')
-    fleet.now_s += const.TRIAL_TIMEOUT_S
-    assert fleet.decide('system new four') is state.Decision.TRIAL
+    fleet.now_s += const.PROBE_TIMEOUT_S
+    assert fleet.decide('system new four') is state.Status.PROBE
 
 
-def test_plain_targets_allow_an_early_trial(fleet):
+def test_plain_targets_allow_an_early_probe(fleet):
     """Where a crash costs one target only, the quarantine is short."""
     fleet.crash('system new one', is_group=False)
-    assert fleet.decide('system new two') is state.Decision.QUARANTINED
+    assert fleet.decide('system new two') is state.Status.QUARANTINED
     fleet.now_s += const.TARGET_QUARANTINE_S
-    assert fleet.decide('system new two') is state.Decision.TRIAL
+    assert fleet.decide('system new two') is state.Status.PROBE
 
 
 # A sound part was refused because only another instance had answered it.
@@ -150,34 +150,34 @@
     """Who has answered it tells the others."""
     fleet.answer('rare one', at=3)
     fleet.crash('rare two', at=0)
-    assert fleet.decide('rare three') is state.Decision.CLEAR
+    assert fleet.decide('rare three') is state.Status.CLEAR
 
 
-def test_targets_lost_together_convict_no_answered_part(fleet):
+def test_targets_lost_together_make_no_answered_part_suspect(fleet):
     """All have a popular part on board, and nothing is answered meanwhile."""
     for _ in range(8):
         fleet.crash('system one', 'system two')
         fleet.now_s += 0.5
-    assert fleet.decide('system three') is state.Decision.CLEAR
+    assert fleet.decide('system three') is state.Status.CLEAR
 
 
-def test_answers_between_crashes_acquit(fleet):
+def test_answers_between_crashes_clear_parts(fleet):
     """A popular part on board of many targets lost apart stays free."""
     for number in range(10):
         fleet.crash(f'system {number}')
         fleet.now_s += 10.0
         fleet.answer(f'system again{number}')
-        assert fleet.decide('system other') is state.Decision.CLEAR
+        assert fleet.decide('system other') is state.Status.CLEAR
 
 
 def test_answered_part_that_has_become_deadly_is_quarantined(fleet):
     """After three outages without a single answer in between."""
     for number in range(2):
         fleet.crash(f'system {number}')
-        assert fleet.decide('system x') is state.Decision.CLEAR
+        assert fleet.decide('system x') is state.Status.CLEAR
         fleet.now_s += 6.0
     fleet.crash('system 2')
-    assert fleet.decide('system x') is state.Decision.QUARANTINED
+    assert fleet.decide('system x') is state.Status.QUARANTINED
 
 
 def test_sound_part_beside_the_deadly_one_is_excused():
@@ -187,15 +187,15 @@
     fleet.now_s += 5.0
     fleet.crash('young deadly one')
     fleet.now_s += const.TARGET_QUARANTINE_S
-    assert fleet.decide('young deadly 2') is state.Decision.QUARANTINED
+    assert fleet.decide('young deadly 2') is state.Status.QUARANTINED
     fleet.try_request('system deadly three')
     fleet.crash('system deadly three')
-    assert fleet.decide('young two') is state.Decision.CLEAR
-    assert fleet.decide('system deadly 4') is state.Decision.QUARANTINED
+    assert fleet.decide('young two') is state.Status.CLEAR
+    assert fleet.decide('system deadly 4') is state.Status.QUARANTINED
 
 
 def test_request_that_has_one_of_two_suspects_tells_them_apart():
-    """The sound one is acquitted soon, which leaves the deadly one alone."""
+    """The sound one is cleared soon, which leaves the deadly one alone."""
     fleet = Fleet(3)
     fleet.answer('system own')
     fleet.now_s += 5.0
@@ -203,8 +203,8 @@
     fleet.now_s += const.TARGET_QUARANTINE_S
     fleet.try_request('young two')
     fleet.answer('young two')
-    assert fleet.decide('young three') is state.Decision.CLEAR
-    assert fleet.decide('system deadly 2') is state.Decision.QUARANTINED
+    assert fleet.decide('young three') is state.Status.CLEAR
+    assert fleet.decide('system deadly 2') is state.Status.QUARANTINED
 
 
 def test_several_deadly_parts_are_quarantined_each():
@@ -216,17 +216,17 @@
     fleet.now_s += 0.005
     fleet.crash('system second b', at=1)
     for part in ('first', 'second'):
-        assert fleet.decide(f'system {part} c') is state.Decision.QUARANTINED
+        assert fleet.decide(f'system {part} c') is state.Status.QUARANTINED
 
 
 # A request without parts crashed a target each time that it came again.
 def test_whole_request_is_quarantined_after_two_crashes(fleet):
     """Most requests on board of a crash are sound and tried once more."""
     fleet.crash('only')
-    assert fleet.decide('only') is state.Decision.CLEAR
+    assert fleet.decide('only') is state.Status.CLEAR
     fleet.crash('only', at=1)
-    assert fleet.decide('only') is state.Decision.QUARANTINED
-    assert fleet.decide('other') is state.Decision.CLEAR
+    assert fleet.decide('only') is state.Status.QUARANTINED
+    assert fleet.decide('other') is state.Status.CLEAR
 
 
 def test_repeated_reports_of_one_crash_count_once(fleet):
@@ -234,10 +234,10 @@
     for _ in range(5):
         for instance in range(4):
             fleet.crash('system', at=instance, crash_id=77)
-    assert fleet.decide('system') is state.Decision.CLEAR
+    assert fleet.decide('system') is state.Status.CLEAR
 
 
-def test_late_news_revive_no_acquitted_suspect(fleet):
+def test_late_news_revive_no_cleared_suspect(fleet):
     """An instance that was frozen tells an old crash again."""
     fleet.crash('system new one')
     old = fleet.ledgers[0].list_all(fleet.now_s)
@@ -246,7 +246,7 @@
     fleet.answer('system new two')
     for ledger in fleet.ledgers:
         ledger.merge(old, fleet.now_s)
-    assert fleet.decide('system new three') is state.Decision.CLEAR
+    assert fleet.decide('system new three') is state.Status.CLEAR
 
 
 def test_restarted_instance_learns_from_the_others(fleet):
@@ -255,15 +255,15 @@
     fleet.ledgers[2] = state.CrashLedger()
     news = fleet.ledgers[0].list_all(fleet.now_s)
     fleet.ledgers[2].merge(news, fleet.now_s)
-    assert fleet.decide('system deadly two') is state.Decision.QUARANTINED
-    assert fleet.decide('system two') is state.Decision.CLEAR
+    assert fleet.decide('system deadly two') is state.Status.QUARANTINED
+    assert fleet.decide('system two') is state.Status.CLEAR
 
 
 def test_crashes_are_forgotten_in_time(fleet):
     """A part may have been mended, and an engine replaced."""
     fleet.crash('system deadly one')
     fleet.now_s += const.CRASH_TTL_S + 1.0
-    assert fleet.decide('system deadly two') is state.Decision.CLEAR
+    assert fleet.decide('system deadly two') is state.Status.CLEAR
 
 
 def test_kept_state_is_bounded():
@@ -289,7 +289,7 @@
 @hypothesis.given(strategies.integers(0, 10_000))
 @hypothesis.settings(max_examples=60, deadline=None)
 def test_order_and_repetition_of_news_do_not_matter(seed):
-    """All instances end up with the same verdicts."""
+    """All instances end up with the same decisions."""
     rng = random.Random(seed)
     fleet = Fleet(4)
     fleet.is_connected = False
--- a/packages/bambooring/src/bambooring/crashes/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_task.py
@@ -56,7 +56,7 @@
             )
         while len(results) < count:
             reactor.run_once()
-        return guard.judge(CAUSES).decision, news
+        return guard.decide(CAUSES).status, news
 
 
 def test_target_that_refuses_connections_has_crashed(listener):
@@ -64,14 +64,14 @@
     port = listener.getsockname()[1]
     listener.close()
     decision, news = _check(port, count=3)
-    assert decision is state.Decision.QUARANTINED
+    assert decision is state.Status.QUARANTINED
     assert len(news) == 1
 
 
 def test_target_that_accepts_connections_has_not(listener):
     """Connections were reset, or the target drops some of its requests."""
     decision, news = _check(listener.getsockname()[1])
-    assert decision is state.Decision.CLEAR
+    assert decision is state.Status.CLEAR
     assert not news
 
 
@@ -90,5 +90,5 @@
         decision, news = _check(address[1])
         for sock in waiting:
             sock.close()
-    assert decision is state.Decision.CLEAR
+    assert decision is state.Status.CLEAR
     assert not news
--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -96,8 +96,8 @@
         self.unread_tokens = request.prompt_tokens
         self.is_over = False
         self.is_forwarding = False
-        # Set if the request is suspect of crashing targets.
-        self.trial: suspicions.AttemptTrial | None = None
+        # Set once it is known whether the attempt probes a suspect.
+        self.probe: suspicions.AttemptProbe | None = None
         self._silence_timer: reactor_module.Timer | None = None
         self.call = make_call(
             reactor=reactor,
@@ -156,10 +156,10 @@
         self.is_over = True
         self.call.abort()
 
-    def end_trial(self) -> None:
-        """Let others be tried, if the attempt was on trial."""
-        if self.trial is not None:
-            self.trial.end()
+    def end_probe(self) -> None:
+        """Allow the next probe, if the attempt was one."""
+        if self.probe is not None:
+            self.probe.end()
 
     def close(self, outcome: str) -> None:
         """End all that belongs to the attempt, and complete its record.
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -126,9 +126,9 @@
         """Start an attempt at a target that the balancer has chosen."""
         self.progress.attempt_count += 1
         self.tried_targets.add(choice.target.id)
-        trial = self.suspicion.begin_attempt()
+        probe = self.suspicion.begin_attempt()
         self._attempt = self._forwarder.start_attempt(self, choice)
-        self._attempt.trial = trial
+        self._attempt.probe = probe
         self._attempt_records.append(self._attempt.record)
 
     @property
@@ -345,7 +345,7 @@
             return
 
         def handle_result() -> None:
-            attempt.end_trial()
+            attempt.end_probe()
             self._retry_after_failure()
 
         self.suspicion.check_target(attempt.target, handle_result)
@@ -371,7 +371,7 @@
             return
         if self._caller.is_started and not self._caller.has_events:
             self.give_up(reason)
-        elif self.suspicion.judge().is_forbidden:
+        elif self.suspicion.decide().is_forbidden:
             self.give_up(const.Reason.SUSPECT)
         elif self._forwarder.refuse_for_rests(self):
             return
@@ -386,7 +386,7 @@
         :param reason: why the request is retried, as a metric label
         :returns: whether to retry
         """
-        if self.suspicion.judge().is_forbidden:
+        if self.suspicion.decide().is_forbidden:
             return False
         time_left_s = self.get_time_left_s()
         if not decisions.may_retry(self.route, self.progress, time_left_s):
@@ -404,13 +404,13 @@
 
         :param attempt: the attempt
         :param outcome: how it ended, as a label for logs
-        :param may_be_crash: whether it stays on trial until it is known if
+        :param may_be_crash: whether it stays a probe until it is known if
             its target crashed
         """
         self._attempt = None
         attempt.close(outcome)
         if not may_be_crash:
-            attempt.end_trial()
+            attempt.end_probe()
         self._forwarder.release_attempt(attempt)
 
     def handle_silence(self, attempt: attempt_module.Attempt) -> None:
@@ -423,10 +423,10 @@
         self._forwarder.eject_target(attempt.target.id, 'silent')
         self._forwarder.dispatch_or_queue(self)
 
-    def rejudge(self) -> None:
+    def recheck_suspicion(self) -> None:
         """End the request if it has become suspect and isn't answered yet."""
-        verdict = self.suspicion.judge()
-        if verdict.decision is not crashes.Decision.QUARANTINED:
+        decision = self.suspicion.decide()
+        if decision.status is not crashes.Status.QUARANTINED:
             return
         if self._attempt is not None and self._attempt.has_begun:
             return
--- a/packages/bambooring/src/bambooring/forwarding/suspicions.py
+++ b/packages/bambooring/src/bambooring/forwarding/suspicions.py
@@ -1,4 +1,4 @@
-"""Judge a pending request by what is known of crashes of targets."""
+"""Decide on a pending request by what is known of crashes of targets."""
 
 import collections.abc
 import functools
@@ -19,24 +19,24 @@
 )
 
 
-class AttemptTrial:
-    """The trial that one attempt is, if its request is suspect."""
+class AttemptProbe:
+    """The probe of a suspect that one attempt is, if it is one."""
 
     __slots__ = ('_guard', '_key')
 
     def __init__(self, guard: crashes_task.CrashGuard, key: int) -> None:
-        """Create a trial.
+        """Create a probe.
 
-        :param guard: what judges requests
+        :param guard: what decides on requests
         :param key: the suspect, 0 if the request is clear
         """
         self._guard = guard
         self._key = key
 
     def end(self) -> None:
-        """Record that the attempt has ended, so that others may be tried."""
+        """Record that the attempt has ended, so that the next may probe."""
         if self._key:
-            self._guard.end_trial(self._key)
+            self._guard.end_probe(self._key)
             self._key = 0
 
 
@@ -63,17 +63,17 @@
             body=self._request.body,
         )
 
-    def judge(self) -> crashes.Verdict:
+    def decide(self) -> crashes.Decision:
         """Decide whether the request may be sent to a target."""
-        return self._guard.judge(self._causes)
-
-    def begin_attempt(self) -> AttemptTrial:
-        """Record that the request is sent, on trial if it is suspect."""
-        verdict = self.judge()
-        if verdict.decision is not crashes.Decision.TRIAL:
-            return AttemptTrial(self._guard, 0)
-        self._guard.begin_trial(verdict, self._request.attempt_id)
-        return AttemptTrial(self._guard, verdict.key)
+        return self._guard.decide(self._causes)
+
+    def begin_attempt(self) -> AttemptProbe:
+        """Record that the request is sent, as a probe if it is suspect."""
+        decision = self.decide()
+        if decision.status is not crashes.Status.PROBE:
+            return AttemptProbe(self._guard, 0)
+        self._guard.begin_probe(decision, self._request.attempt_id)
+        return AttemptProbe(self._guard, decision.key)
 
     def record_answer(self) -> None:
         """Record that a target began to answer."""
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -66,7 +66,7 @@
         self._lease_clock = lease_clock
         self._budget = budget
         self.crash_guard = crash_guard
-        crash_guard.on_quarantine = self._rejudge_all
+        crash_guard.on_quarantine = self._recheck_suspicions
         self._rng = rng
         self._schedule_load_report = schedule_load_report
         self._make_call = make_call
@@ -153,8 +153,8 @@
 
         :param pending: the request
         """
-        verdict = pending.suspicion.judge()
-        if verdict.is_forbidden:
+        decision = pending.suspicion.decide()
+        if decision.is_forbidden:
             pending.give_up(const.Reason.SUSPECT)
             return
         queue = self._queues.setdefault(pending.service, [])
@@ -165,8 +165,8 @@
         ]
         if not ahead and self._try_dispatch(pending):
             return
-        if verdict.decision is crashes.Decision.TRIAL:
-            # Requests on trial that waited would all be sent at once.
+        if decision.status is crashes.Status.PROBE:
+            # Probes that waited would all be sent at once.
             pending.give_up(const.Reason.SUSPECT)
             return
         if (
@@ -482,10 +482,10 @@
             for_ms=round(pause_s * 1000),
         )
 
-    def _rejudge_all(self) -> None:
+    def _recheck_suspicions(self) -> None:
         """End the requests that a new crash has made suspect."""
         for pending in list(self._pending_requests):
-            pending.rejudge()
+            pending.recheck_suspicion()
 
     def stop_all(self) -> None:
         """End every pending request, because the process stops."""
@@ -504,9 +504,9 @@
         The time is randomized, so that callers rejected at the same moment
         don't all retry at the same moment.
         """
-        verdict = pending.suspicion.judge()
-        if verdict.is_forbidden:
-            return max(verdict.wait_s, const.RETRY_AFTER_MIN_S)
+        decision = pending.suspicion.decide()
+        if decision.is_forbidden:
+            return max(decision.wait_s, const.RETRY_AFTER_MIN_S)
         service = pending.service
         now_s = self.reactor.now()
         rest_wait_s = self._get_rest_wait_s(pending)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
@@ -84,8 +84,8 @@
     target.held_exchange = exchange
 
 
-# Sound callers were refused for seconds after a trial whose target left.
-def test_trial_ends_with_its_attempt(make_harness):
+# Sound callers were refused for seconds after a probe whose target left.
+def test_probe_ends_with_its_attempt(make_harness):
     """Also if the target ends because it is leaving, which is no crash."""
     harness = make_harness(1, harness_module.crash_on_deadly_part)
     _ask(harness, b'/talk/1', parts=SOUND)
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -42,7 +42,7 @@
     'Checks whether a target that dropped a request has ended, by outcome.',
     ['outcome'],
 )
-SUSPECT_TRIALS = prometheus_client.Counter(
+SUSPECT_PROBES = prometheus_client.Counter(
     'bambooring_suspect_trials_total',
     'Requests sent to find out whether they crash targets.',
 )
