--- a/packages/bambooring/src/bambooring/replication/tests/test_storage.py
+++ b/packages/bambooring/src/bambooring/replication/tests/test_storage.py
@@ -1,6 +1,10 @@
 """Test that a torn write is repaired and that corruption is detected."""
 
+import errno
+import os
+import pathlib
 import random
+import stat
 
 import pytest
 
@@ -43,6 +47,37 @@
     assert [entry.index for entry in _load(disk)] == [1, 2]
 
 
+class _CountingBytes(bytes):
+    """Bytes that count how many of them are copied."""
+
+    copied_count = 0
+
+    def __getitem__(self, key):
+        """Return a slice and count its size."""
+        part = super().__getitem__(key)
+        if isinstance(part, bytes):
+            self.copied_count += len(part)
+        return part
+
+
+# A long torn record kept a replica that came back busy for minutes.
+def test_long_torn_record_is_cut_off_fast(disk):
+    """The effort grows with the size of the torn record, not its square."""
+    entry = messages.Entry(
+        index=4,
+        term=1,
+        kind=messages.EntryKind.COMMAND,
+        data=random.Random(4).randbytes(30_000),
+    )
+    storage.Storage(disk).append_batch(
+        messages.Batch(truncate_from=0, entries=[entry])
+    )
+    data = _CountingBytes(disk.files['log'][:-1])
+    disk.files['log'] = data
+    assert [entry.index for entry in _load(disk)] == [1, 2, 3]
+    assert data.copied_count < 2 * len(data)
+
+
 def test_corruption_before_valid_records_is_an_error(disk):
     """Corruption in the middle is never mistaken for a torn write."""
     data = bytearray(disk.files['log'])
@@ -52,6 +87,35 @@
         _load(disk)
 
 
+def _fail_to_sync_folders(descriptor):
+    if stat.S_ISDIR(os.fstat(descriptor).st_mode):
+        raise OSError(errno.ENOSPC, 'full')
+
+
+def _fail_to_read(path):
+    raise OSError(errno.EIO, 'unreadable')
+
+
+# A disk that refused to sync the folder, or to be read, ended the process.
+@pytest.mark.parametrize(
+    ('module', 'name', 'fail'),
+    [
+        (os, 'fsync', _fail_to_sync_folders),
+        (pathlib.Path, 'read_bytes', _fail_to_read),
+    ],
+)
+def test_every_failure_of_the_disk_is_a_storage_error(
+    tmp_path, monkeypatch, module, name, fail
+):
+    """The replica stops for each of them until its disk works again."""
+    written = storage.Storage(storage.FolderDisk(tmp_path))
+    written.load()
+    monkeypatch.setattr(module, name, fail)
+    with pytest.raises(errors.StorageError):
+        written.append_batch(_make_batch(1))
+        written.load()
+
+
 def test_files_in_a_folder_are_reloaded(tmp_path):
     """What was written is read again, with the same replica id."""
     folder = tmp_path / 'data'
