--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -518,14 +518,16 @@
         body=b'hi',
         attempt_id=b'7',
         last_event_id=0,
+        method=b'POST',
     ):
         """Send a request and return its socket."""
         sock = socket.create_connection(('127.0.0.1', self.caller_server.port))
         sock.setblocking(False)
         sock.send(
-            b'POST %b HTTP/1.1\r\nHost: h\r\nId: %b\r\nLeft: %b\r\n'
+            b'%b %b HTTP/1.1\r\nHost: h\r\nId: %b\r\nLeft: %b\r\n'
             b'Parts: %b\r\nLast: %d\r\nContent-Length: %d\r\n\r\n%b'
             % (
+                method,
                 path,
                 attempt_id,
                 time_left,
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -5,11 +5,14 @@
 """
 
 import contextlib
+import dataclasses
 
 import pytest
 
 from bambooring.forwarding.tests import harness as harness_module
 from bambooring.forwarding.tests import raw_targets as raw
+from bambooring.policy import messages as policy
+from bambooring.policy import state as policy_state
 
 BODY = b'whole answer'
 EVENTS = [b'id: %d\ndata: x\n\n' % number for number in range(1, 4)]
@@ -256,3 +259,61 @@
     harness = make_harness(raw.RawTarget(raw.frame([quote], 'none')))
     status, body, _ = _ask(harness, b'/read/1')
     assert (status, body) == (b'200', quote)
+
+
+def _resume_from(harness, monkeypatch, last_event_id):
+    """Let callers say which event they have."""
+    read_request = harness_module.Dialect.read_request
+
+    def read(self, request):
+        caller_request = read_request(self, request)
+        caller_request.last_event_id = last_event_id
+        return caller_request
+
+    monkeypatch.setattr(harness_module.Dialect, 'read_request', read)
+
+
+# Callers missed the first events of a stream that can't be resumed.
+@pytest.mark.parametrize('last_event_id', [0, 1, 3, 9])
+def test_stream_that_cannot_be_resumed_is_passed_on_whole(
+    make_harness, monkeypatch, last_event_id
+):
+    """Whatever id its caller sent: the target need not know of such ids."""
+    route = harness_module.make_route('talk', policy.RouteKind.STREAM)
+    harness = make_harness(
+        raw.RawTarget(raw.frame(EVENTS, 'chunks', b'Stream: 1'))
+    )
+    harness.forwarder.policy_table = policy_state.PolicyTable(
+        dataclasses.replace(harness_module.POLICY, routes=[route])
+    )
+    _resume_from(harness, monkeypatch, last_event_id)
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', True)
+    assert _join_chunks(body) == b''.join(EVENTS)
+
+
+# A stream of which callers had every event was broken off.
+@pytest.mark.parametrize('framing', raw.FRAMINGS)
+def test_continuation_that_repeats_known_events_is_not_broken_off(
+    make_harness, framing
+):
+    """Events that the caller has already are events of the target, too."""
+    cut = raw.RawTarget(raw.frame(EVENTS, 'chunks', b'Stream: 1')[:-5])
+    again = raw.RawTarget(raw.frame(EVENTS, framing, b'Stream: 1'))
+    harness = make_harness(cut, again)
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', True)
+    assert body.count(b'id: ') == 3
+
+
+# HEAD requests for streams were refused, and their targets ejected.
+def test_stream_is_not_broken_off_if_only_its_head_was_asked_for(make_harness):
+    """A response to HEAD has no body, whatever its framing says."""
+    target = raw.RawTarget(raw.make_head(200, b'Stream: 1'))
+    harness = make_harness(target)
+    sock = harness.send_request(b'/talk/1', method=b'HEAD')
+    harness.turn_until(
+        lambda: target.requests and not harness.forwarder.pending_count
+    )
+    assert sock.recv(65536).startswith(b'HTTP/1.1 200')
+    sock.close()
