--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -162,7 +162,8 @@
 
         It goes over a new connection, over which the engine is polled from
         then on: nothing that the engine told before the order, not even a late
-        copy of it, can be taken for its state after the order.
+        copy of it, can be taken for its state after the order. A poll under
+        way fails.
 
         :param order: the order
         :param callback: is called with the response
@@ -170,8 +171,9 @@
         connection = self._make_connection()
 
         def handle_response(status: int, body: bytes) -> None:
-            self._poll_connection.close()
+            previous_connection = self._poll_connection
             self._poll_connection = connection
+            previous_connection.abort()
             callback(status, body)
 
         call = self._dialect.make_order_call(order)
@@ -330,7 +332,11 @@
                 status=status,
                 outcome=outcome,
             )
-            self._poll(
+            # On its own connection: a late copy of the order's response isn't
+            # taken for the state, and the next order doesn't cut it short.
+            calls.EngineCall(
+                self._reactor,
+                self._settings.engine_address,
                 self._dialect.make_state_call(),
                 lambda status, body: self._report_outcome(
                     link, order, outcome, self._read_state(status, body)
--- a/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
+++ b/packages/agent/src/bambooring_agent/ranks/tests/test_task.py
@@ -1,6 +1,7 @@
 """Test the agent of a rank with engines on loopback sockets."""
 
 import contextlib
+import dataclasses
 import typing
 from unittest import mock
 
@@ -224,12 +225,22 @@
         self.paths.append(exchange.request.target)
         self.orders += exchange.request.target.startswith('/order')
         connection = exchange._connection
-        body = b'%d' % self.orders
+        body = self._make_body(exchange.request.target)
         # The copy comes first, so that it is taken for the answer.
         late = self.last_bodies.get(connection, body)
         self.last_bodies[connection] = body
         exchange.respond(200, [], late)
 
+    def _make_body(self, path):
+        return b'%d' % self.orders
+
+
+class _RepeatingOrders(_RepeatingEngine):
+    """Name the kind of call in each response."""
+
+    def _make_body(self, path):
+        return b'order' if path.startswith('/order') else b'state'
+
 
 def test_late_copy_of_an_older_state():
     """A state that was read before an order isn't reported as one after it.
@@ -262,3 +273,98 @@
     state.step = int(body)
     state.layout_version = 0
     return state
+
+
+class _HoldingEngine(_Engine):
+    """Keep the answers to some calls back until the test sends them."""
+
+    def __init__(self, reactor, path):
+        super().__init__(reactor, 200)
+        self.path = path
+        self.held = []
+
+    def _handle(self, exchange):
+        self.paths.append(exchange.request.target)
+        if exchange.request.target == self.path:
+            self.held.append(exchange)
+        else:
+            exchange.respond(200, [], b'state')
+
+
+@contextlib.contextmanager
+def _run_holding(path):
+    """Yield an agent whose engine keeps the answers to one path back."""
+    with reactor_module.Reactor() as reactor:
+        engine = _HoldingEngine(reactor, path)
+        with engine.server:
+            agent = _make_agent(reactor, engine.address)
+            agent._dialect.make_experts_call = lambda: _make_call('/experts')
+            yield reactor, agent, engine
+
+
+def _run_until(reactor, condition):
+    for _ in range(MAX_ITERATIONS):
+        if condition():
+            return
+        reactor.call_later(0.001, lambda: None)
+        reactor.run_once()
+    raise AssertionError('condition not met in time')
+
+
+# A rank's experts were never read again after an order had been answered while
+# they were being read.
+def test_order_while_experts_are_read():
+    """The call that the order cuts short has failed, and is made again."""
+    with _run_holding('/experts') as (reactor, agent, engine):
+        agent._dialect.read_state = _read_other_map
+        agent._poll_state()
+        _run_until(reactor, lambda: engine.held)
+        link = _Link()
+        agent.handle_message(link, ORDER)
+        _run_until_sent(reactor, link)
+        agent._poll_state()
+        _run_until(reactor, lambda: len(engine.held) == 2)
+
+
+# The outcome of an order was never reported, because the next order was
+# answered while the state after the first was being read.
+def test_each_order_has_its_outcome_reported():
+    """Also if the engine answers two orders before it tells its state."""
+    with _run_holding('/state') as (reactor, agent, engine):
+        link = _Link()
+        for order in (ORDER, dataclasses.replace(ORDER, order=8)):
+            agent.handle_message(link, order)
+        _run_until(reactor, lambda: len(engine.held) >= 2)
+        for exchange in engine.held:
+            exchange.respond(200, [], b'state')
+        _run_until(reactor, lambda: len(link.sent) == 2)
+        assert {done.order for done in link.sent} == {7, 8}
+
+
+# The outcome of an order was never reported: a second copy of the response to
+# it was taken for the state that was read after it.
+def test_late_copy_of_the_response_to_an_order():
+    """The copy comes when the next call over its connection has been made."""
+    with reactor_module.Reactor() as reactor:
+        engine = _RepeatingOrders(reactor)
+        with engine.server:
+            agent = _make_agent(reactor, engine.address)
+            agent._dialect.read_state = _read_told_state
+            link = _Link()
+            agent.handle_message(link, ORDER)
+            (done,) = _run_until_sent(reactor, link)
+            assert done.order == 7
+
+
+def _read_told_state(target, service, body):
+    """Return the state, or None if the response is to another call."""
+    if body != b'state':
+        return None
+    return _Dialect().read_state(target, service, body)
+
+
+def _read_other_map(target, service, body):
+    """Return a state with a map whose experts the agent hasn't read."""
+    state = _Dialect().read_state(target, service, body)
+    state.version = 1
+    return state
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -43,7 +43,7 @@
             path=request.target,
             api_key=None,
             time_left_s=float(request.get(b'left') or b'5'),
-            last_event_id=None,
+            last_event_id=int(request.get(b'last') or b'0') or None,
             prompt_tokens=1,
             prompt_parts=tuple(
                 (request.get(b'parts') or b'').decode().split()
@@ -519,6 +519,7 @@
         parts=b'',
         body=b'hi',
         attempt_id=b'7',
+        last_event_id=0,
         method=b'POST',
     ):
         """Send a request and return its socket."""
@@ -526,13 +527,14 @@
         sock.setblocking(False)
         sock.send(
             b'%b %b HTTP/1.1\r\nHost: h\r\nId: %b\r\nLeft: %b\r\n'
-            b'Parts: %b\r\nContent-Length: %d\r\n\r\n%b'
+            b'Parts: %b\r\nLast: %d\r\nContent-Length: %d\r\n\r\n%b'
             % (
                 method,
                 path,
                 attempt_id,
                 time_left,
                 parts,
+                last_event_id,
                 len(body),
                 body,
             )
