Take a response for a stream only where one is due

What callers would have seen: the answer to a plain request with the target's second answer behind it, if the first one had the type of a stream and no length. Found by drawn cases (test_stutter.py).

Cause: any success of that type was passed on part by part, and what is passed on in parts isn't searched for a second answer.

Change: an attempt knows whether its request is answered by a stream; other responses are buffered whatever their type.

After: the forwarding tests pass.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -77,10 +77,12 @@
         make_call: client.CallFactory,
         request: messages.CallerRequest,
         choice: balancing.Choice,
+        expects_stream: bool,
     ) -> None:
         self._listener = listener
         self._reactor = reactor
         self._request = request
+        self._expects_stream = expects_stream
         self.target = choice.target
         self.record = access_log.AttemptRecord.make(choice)
         self.began_s = reactor.now()
@@ -120,9 +122,13 @@
 
     @property
     def is_event_stream(self) -> bool:
-        """Return whether the target answers with a stream of events."""
+        """Return whether the target answers with the stream that is due.
+
+        To a request that isn't answered by a stream its type says nothing.
+        """
         return (
-            self.response is not None
+            self._expects_stream
+            and self.response is not None
             and self.response.is_success
             and self.response.is_stream
         )
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -140,14 +140,16 @@
 
         None if it isn't repeated for that reason.
         """
-        if self._is_stream() or not self.route.is_retryable:
+        if self.is_stream or not self.route.is_retryable:
             return None
         return (
             self.route.first_byte_objective_s
             * const.SILENCE_TIMEOUT_OBJECTIVES
         )
 
-    def _is_stream(self) -> bool:
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the request is answered by a stream of events."""
         return self.route.kind == 'stream'
 
     def make_attempt_metadata(
@@ -181,7 +183,7 @@
         """
         self._forwarder.balancer.record_response_started(self.service)
         assert attempt.response is not None
-        if self._is_stream() and attempt.is_event_stream:
+        if attempt.is_event_stream:
             attempt.stream = self._make_stream(attempt)
             return
         if self._caller.is_started:
@@ -260,7 +262,7 @@
         """Forward a complete response, or retry a request that failed."""
         response = attempt.response
         assert response is not None
-        if not self._is_stream():
+        if not self.is_stream:
             self._record_answer(attempt)
         if self._should_retry_failure(attempt, response):
             self.progress.may_have_run = True
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -426,6 +426,7 @@
             make_call=self._make_call,
             request=pending.request,
             choice=choice,
+            expects_stream=pending.is_stream,
         )
         headers = self._dialect.write_attempt_headers(
             pending.request, pending.make_attempt_metadata(choice.target.id)
