Promise nothing that a target didn't prove

What callers would have seen: 503 (or 408, 421, 429) for a booking that may have run, which tells them to send it again. Found by drawn cases (test_stutter.py).

Cause: a target's status was passed on as it was. A target that doesn't say besides that it hasn't run the request may have, but to callers the status alone is that promise.

Ruled out: passing it on for what may be repeated is no harm, and it is the target's own response.

Change: for a request that must not run twice, such a status without its proof counts as a failure: 502.

--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -99,6 +99,11 @@
 RETRY_LATER_TIME_SHARE: typing.Final = 0.75
 
 
+# Callers take these for a promise that the request has not run and won't, and
+# may repeat any request.
+NOT_RUN_STATUSES: typing.Final = (408, 421, 429, 503)
+
+
 class Reason(enum.StrEnum):
     """Why a request got an error response or no complete response.
 
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -279,6 +279,24 @@
     return possible_runs < max(1, route.max_attempts)
 
 
+def is_unproved_promise(
+    route: policy.Route, response: messages.TargetResponse
+) -> bool:
+    """Return whether a target's status would have its caller run it twice.
+
+    The status tells callers that the request has not run, but the target
+    doesn't say so otherwise, and it must not run more than once.
+
+    :param route: the route
+    :param response: the response
+    """
+    return (
+        response.status in const.NOT_RUN_STATUSES
+        and not response.is_refused
+        and not route.is_retryable
+    )
+
+
 def build_final_error(
     progress: Progress, reason: const.Reason, retry_after_s: float
 ) -> messages.ErrorResponse:
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -282,6 +282,10 @@
             self.give_up(const.Reason.TARGET_FAILED)
             return
         self._forwarder.balancer.record_response_started(self.service)
+        if decisions.is_unproved_promise(self.route, response):
+            self.progress.may_have_run = True
+            self.give_up(const.Reason.TARGET_FAILED)
+            return
         if response.is_success:
             self._record_success(attempt)
         self._complete_response(attempt, response)
