Let a late probe end itself only

What callers would have seen: two suspect requests sent at once.

Cause: a probe was ended by its suspect's key. One that outlived its time-out ended the next probe of the same suspect.

Change: a probe ends only within its own time; after it others may be under way.

Before: the new test failed without the check. After: the tests of crashes and forwarding pass.

--- a/packages/bambooring/src/bambooring/crashes/task.py
+++ b/packages/bambooring/src/bambooring/crashes/task.py
@@ -6,6 +6,7 @@
 
 from bambooring.crashes import causes as causes_module
 from bambooring.crashes import checks
+from bambooring.crashes import const
 from bambooring.crashes import messages
 from bambooring.crashes import state
 from bambooring import metrics
@@ -42,8 +43,13 @@
         """Decide whether a request may be sent to a target."""
         return self._ledger.decide(causes, self._reactor.now())
 
-    def begin_probe(self, decision: state.Decision, request_id: str) -> None:
-        """Record that a probe is sent to a target."""
+    def begin_probe(self, decision: state.Decision, request_id: str) -> float:
+        """Record that a probe is sent to a target.
+
+        :param decision: the decision to probe
+        :param request_id: the request's id
+        :returns: until when no other probe is sent, in the reactor's seconds
+        """
         LOG.info(
             'suspect tried',
             request=request_id,
@@ -51,14 +57,21 @@
             crashes=decision.crash_count,
         )
         metrics.SUSPECT_PROBES.inc()
-        self._send(self._ledger.begin_probe(decision.key, self._reactor.now()))
+        now_s = self._reactor.now()
+        self._send(self._ledger.begin_probe(decision.key, now_s))
+        return now_s + const.PROBE_TIMEOUT_S
 
-    def end_probe(self, key: int) -> None:
+    def end_probe(self, key: int, until_s: float) -> None:
         """Record that a probe may end without a result.
 
-        Nothing changes if it had one.
+        Nothing changes if it had one, or if another may have begun.
+
+        :param key: the suspect
+        :param until_s: what :meth:`begin_probe` returned
         """
-        self._send(self._ledger.end_probe(key, self._reactor.now()))
+        now_s = self._reactor.now()
+        if now_s < until_s:
+            self._send(self._ledger.end_probe(key, now_s))
 
     def record_answer(self, causes: causes_module.Causes) -> None:
         """Record that a target began to answer a request."""
--- a/packages/bambooring/src/bambooring/crashes/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_task.py
@@ -6,10 +6,13 @@
 import pytest
 
 from bambooring.crashes import causes as causes_module
+from bambooring.crashes import const
 from bambooring.crashes import messages
 from bambooring.crashes import state
 from bambooring.crashes import task
+from bambooring.forwarding import suspicions
 from bambooring.targets import messages as targets
+from bambooring_core import clock as clock_module
 from bambooring_core import reactor as reactor_module
 
 CAUSES = causes_module.compute_causes(
@@ -92,3 +95,23 @@
             sock.close()
     assert decision is state.Status.CLEAR
     assert not news
+
+
+# Two suspect requests were sent at once.
+def test_probe_that_ends_late_does_not_end_the_next_one():
+    """A probe outlives its time-out if its target is silent for long."""
+    clock = clock_module.ManualClock()
+    with reactor_module.Reactor(clock) as reactor:
+        guard = task.CrashGuard(reactor=reactor, send_news=lambda news: None)
+        decision = state.Decision(status=state.Status.PROBE, key=5)
+        probes = []
+        for _ in range(2):
+            clock.advance(const.PROBE_TIMEOUT_S + 1.0)
+            until_s = guard.begin_probe(decision, 'r')
+            probes.append(
+                suspicions.AttemptProbe(guard, decision.key, until_s)
+            )
+        probes[0].end()
+        assert guard.list_all().trials
+        probes[1].end()
+        assert not guard.list_all().trials
--- a/packages/bambooring/src/bambooring/forwarding/suspicions.py
+++ b/packages/bambooring/src/bambooring/forwarding/suspicions.py
@@ -22,21 +22,25 @@
 class AttemptProbe:
     """The probe of a suspect that one attempt is, if it is one."""
 
-    __slots__ = ('_guard', '_key')
+    __slots__ = ('_guard', '_key', '_until_s')
 
-    def __init__(self, guard: crashes_task.CrashGuard, key: int) -> None:
+    def __init__(
+        self, guard: crashes_task.CrashGuard, key: int, until_s: float
+    ) -> None:
         """Create a probe.
 
         :param guard: what decides on requests
         :param key: the suspect, 0 if the request is clear
+        :param until_s: until when no other probe is sent
         """
         self._guard = guard
         self._key = key
+        self._until_s = until_s
 
     def end(self) -> None:
         """Record that the attempt has ended, so that the next may probe."""
         if self._key:
-            self._guard.end_probe(self._key)
+            self._guard.end_probe(self._key, self._until_s)
             self._key = 0
 
 
@@ -71,9 +75,9 @@
         """Record that the request is sent, as a probe if it is suspect."""
         decision = self.decide()
         if decision.status is not crashes.Status.PROBE:
-            return AttemptProbe(self._guard, 0)
-        self._guard.begin_probe(decision, self._request.attempt_id)
-        return AttemptProbe(self._guard, decision.key)
+            return AttemptProbe(self._guard, 0, 0.0)
+        until_s = self._guard.begin_probe(decision, self._request.attempt_id)
+        return AttemptProbe(self._guard, decision.key, until_s)
 
     def record_answer(self) -> None:
         """Record that a target began to answer."""
