Send each attempt to the engine over a connection of its own

Cause: an agent's calls for idempotent requests went over connections that curl keeps. If the engine sends a response a second time, late, when the next request has been sent, curl takes it for that one's. Nothing in a response names its attempt.

Ruled out: a copy that comes between two requests. curl closes a kept connection on which there is unread input.

Change: no attempt's connection is kept or reused, as was so for bookings, and as the gateway does. Health checks still share theirs.

Evidence: test_late_copy_is_no_other_attempts_response[idempotent] failed before with "b'/1' == b'/2'"; [booking] passed. Both pass now, with the tests of packages/agent, test_demo.py and test_processes.py.

Conclusion: the class is a connection that outlives its request. What it costs is one loopback connection for each attempt; that wasn't measured.

--- a/packages/agent/src/bambooring_agent/engine/task.py
+++ b/packages/agent/src/bambooring_agent/engine/task.py
@@ -143,11 +143,11 @@
         if start.priority:
             header_lines.append(f'X-Request-Priority: {start.priority}')
         handle.setopt(pycurl.HTTPHEADER, header_lines)
-        if start.kind is dispatch.Kind.BOOKING:
-            # curl resends a request by itself if a kept-alive connection
-            # turns out to be closed; a booking must not be sent twice.
-            handle.setopt(pycurl.FRESH_CONNECT, 1)
-            handle.setopt(pycurl.FORBID_REUSE, 1)
+        # On a kept connection a late second copy of a response is taken for
+        # that of the next request, and curl resends a request by itself if
+        # the connection turns out to be closed.
+        handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.FORBID_REUSE, 1)
 
     def _make_header_reader(
         self, attempt_id: int, response: state.Response
