--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -324,9 +324,9 @@
 def test_second_answer_does_not_complete_a_cut_one(make_harness, path):
     """The target owes a rest when its second answer begins."""
     body = b'x' * 300
-    answer = _frame([body], 'length')
-    twice = RawTarget(answer[:-200] + answer)
-    harness = make_harness(twice, RawTarget(answer))
+    answer = raw.frame([body], 'length')
+    twice = raw.RawTarget(answer[:-200] + answer)
+    harness = make_harness(twice, raw.RawTarget(answer))
     status, received, _ = _ask(harness, path)
     assert (status, received) in (
         (b'200', body),
@@ -338,13 +338,13 @@
 @pytest.mark.parametrize('text', [b'id: 4\ndata: x', b'id: 4\ndata: '])
 def test_second_head_in_lower_case_is_no_part_of_an_event(make_harness, text):
     """The names of a head may be in any case."""
-    first = _frame([*EVENTS, text], 'none', b'Stream: 1')
+    first = raw.frame([*EVENTS, text], 'none', b'Stream: 1')
     second = (
         b'HTTP/1.1 200 OK\r\nattempt-id: 7\r\nsigned: 1\r\n'
         b'content-type: text/event-stream\r\n\r\n' + b''.join(EVENTS)
     )
-    rest = _frame([b'id: 4\ndata: x\n\n'], 'length', b'Stream: 1')
-    harness = make_harness(RawTarget(first + second), RawTarget(rest))
+    rest = raw.frame([b'id: 4\ndata: x\n\n'], 'length', b'Stream: 1')
+    harness = make_harness(raw.RawTarget(first + second), raw.RawTarget(rest))
     status, body, _ = _ask(harness, b'/talk/1')
     assert b'HTTP' not in body
 
@@ -353,8 +353,8 @@
 @pytest.mark.parametrize('text', [b': wait\n\n', b'\n\n'])
 def test_stream_of_comments_alone_has_broken_off(make_harness, text):
     """A comment is no event, so that nothing shows a whole stream."""
-    cut = RawTarget(_frame([text], 'none', b'Stream: 1'))
-    sound = RawTarget(_frame(EVENTS, 'none', b'Stream: 1'))
+    cut = raw.RawTarget(raw.frame([text], 'none', b'Stream: 1'))
+    sound = raw.RawTarget(raw.frame(EVENTS, 'none', b'Stream: 1'))
     harness = make_harness(cut, sound)
     status, body, _ = _ask(harness, b'/talk/1')
     assert status == b'200' and body.count(b'id: ') == 3
