Contain an unexpected error in a decoder

What callers saw: each number or text that a decoder didn't think of ended an instance with all that it held, and the same input, sent again, ended the next one. The cases found are mended; this is for those not found.

Change: an error that a decoder doesn't declare ends the one request, call, policy or report. Decoders change nothing, so the state is whole. A caller or operator gets 503: it has not run. The error is counted, and logged with its traceback when it first occurs. An error anywhere else may leave state half changed and still ends the process; the reasons are in docs/design/platform.md.

Ruled out: to catch errors around each connection's or link's handling. A request may be counted at a target and not sent, or an announcement known here and not sent on, and nobody would see it. Heads of targets' responses are not contained yet: what is decoded there is being rewritten.

Evidence: with the containment taken out test_fault_of_a_decoder_ends_one_input fails with ZeroDivisionError; it and the tests of decoding.py pass.

--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -14,6 +14,7 @@
 from bambooring_agent.ranks import messages as agent_messages
 from bambooring_agent.ranks import state as state_module
 from bambooring_core import const as core_const
+from bambooring_core import decoding
 from bambooring_core import errors
 from bambooring_core.http1 import kept
 from bambooring_core import identity as identity_module
@@ -244,8 +245,8 @@
         a kind is logged once.
         """
         try:
-            report = read()
-        except errors.ReportError as error:
+            report = decoding.contain(kind, read)
+        except (errors.ReportError, errors.DecoderFaultError) as error:
             if kind not in self._unreadable_kinds:
                 self._unreadable_kinds.add(kind)
                 LOG.warning(
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -94,6 +94,7 @@
     """
 
     MALFORMED = 'malformed'
+    DECODER_FAULT = 'decoder_fault'
     NO_ROUTE = 'no_route'
     UNKNOWN_KEY = 'unknown_key'
     NO_POLICY = 'no_policy'
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -25,6 +25,8 @@
 from bambooring.policy import state as policy_state
 from bambooring.routing import budget as budget_module
 from bambooring_core import clock as clock_module
+from bambooring_core import decoding
+from bambooring_core import errors as core_errors
 from bambooring_core.http1 import client
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server
@@ -90,13 +92,23 @@
         :param exchange: the request, and how to respond to it
         """
         try:
-            request = self._dialect.read_request(exchange.request)
+            request = decoding.contain(
+                'request',
+                lambda: self._dialect.read_request(exchange.request),
+            )
         except errors.RequestMalformedError as error:
             error_response = messages.ErrorResponse(
                 status=400, reason=const.Reason.MALFORMED
             )
             self._reject(exchange, '', error_response, str(error))
             return
+        except core_errors.DecoderFaultError as error:
+            # It has not run; another release may understand it.
+            error_response = messages.ErrorResponse(
+                status=503, reason=const.Reason.DECODER_FAULT
+            )
+            self._reject(exchange, '', error_response, str(error))
+            return
         lease_now_s = self._lease_clock.now()
         result = decisions.admit(
             self.policy_table,
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -26,6 +26,8 @@
 from bambooring.targets import messages as targets
 from bambooring_core import codec
 from bambooring_core import const as core_const
+from bambooring_core import decoding
+from bambooring_core import errors as core_errors
 from bambooring_core.http1 import const as http1_const
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as http1_server
@@ -362,8 +364,13 @@
     ) -> dict[str, rebalancer_types.EngineSpec]:
         text = policy_state.decompress(document.document)
         try:
-            decoded = self._dialect.read_policy(text)
-        except policy_errors.PolicyError as error:
+            decoded = decoding.contain(
+                'policy', lambda: self._dialect.read_policy(text)
+            )
+        except (
+            policy_errors.PolicyError,
+            core_errors.DecoderFaultError,
+        ) as error:
             # It may have been accepted by an earlier release.
             LOG.error(
                 'policy unreadable', version=document.version, error=str(error)
@@ -383,7 +390,10 @@
     def _handle_call(self, exchange: http1_server.Exchange) -> None:
         """Handle a call of an operator or a target."""
         try:
-            call = self._dialect.read_control_call(exchange.request)
+            call = decoding.contain(
+                'call',
+                lambda: self._dialect.read_control_call(exchange.request),
+            )
         except policy_errors.PolicyError as error:
             LOG.info('policy refused', reason=error.reason, detail=str(error))
             metrics.REFUSALS.labels(
@@ -396,6 +406,11 @@
             metrics.REFUSALS.labels(reason='announcement', outcome='400').inc()
             _respond(exchange, 400, str(error))
             return
+        except core_errors.DecoderFaultError as error:
+            LOG.info('call not decoded', detail=str(error))
+            metrics.REFUSALS.labels(reason='call', outcome='503').inc()
+            _respond(exchange, 503, 'cannot be decoded here')
+            return
         match call:
             case dialect_module.PublishPolicyCall():
                 self._publish(exchange, call)
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -26,6 +26,8 @@
 from bambooring.targets import state as targets_state
 from bambooring_core import clock as clock_module
 from bambooring_core import const as core_const
+from bambooring_core import decoding
+from bambooring_core import errors as core_errors
 from bambooring_core.http1 import const as http1_const
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as http1_server
@@ -271,8 +273,13 @@
             return
         document = policy_state.decompress(message.document)
         try:
-            decoded = self._dialect.read_policy(document)
-        except policy_errors.PolicyError as error:
+            decoded = decoding.contain(
+                'policy', lambda: self._dialect.read_policy(document)
+            )
+        except (
+            policy_errors.PolicyError,
+            core_errors.DecoderFaultError,
+        ) as error:
             LOG.error(
                 'policy unreadable', version=message.version, error=str(error)
             )
--- a/packages/core/src/bambooring_core/errors.py
+++ b/packages/core/src/bambooring_core/errors.py
@@ -20,6 +20,10 @@
     """
 
 
+class DecoderFaultError(BambooringError):
+    """A decoder met an error that it doesn't expect, as a fault of its own."""
+
+
 class ReportError(BambooringError):
     """A report of an engine can't be read."""
 
--- a/packages/core/src/bambooring_core/metrics.py
+++ b/packages/core/src/bambooring_core/metrics.py
@@ -12,6 +12,11 @@
     'Invalid HTTP requests for metrics, by reason.',
     ['reason'],
 )
+DECODER_FAULTS = prometheus_client.Counter(
+    'bambooring_decoder_faults_total',
+    'Inputs dropped because decoding them failed unexpectedly, by decoder.',
+    ['decoder'],
+)
 
 
 def render() -> bytes:
