Bring a replica with a full disk back at once, and hand over what it led

What operators saw: while the disks of the three control replicas were full in turn, never two at once, changes had no confirmation for up to 10 s; the bound is 4 s. While all processes ran, two of three replicas were away.

Cause, three parts of one fault: - A replica whose write had failed looked again only each 2 s. It was away for up to 2 s after its disk had room, when the next disk was full already. - A leader that stopped told nobody; the others waited out the election timeout. - Proposals that waited at it got no reply, only the proposer's own deadline.

Change: a stopped replica tries each 0.25 s whether it can write its smallest file, and only then reads its files again, so that it takes no part while its disk is still full. On stopping, a leader asks the best follower to take over; nothing unsaved is sent. Waiting proposals are refused, so that they go to the next leader; that is safe, as a command that enters the log twice is one. The log tells the first failed try and the return.

--- a/packages/bambooring/src/bambooring/replication/const.py
+++ b/packages/bambooring/src/bambooring/replication/const.py
@@ -7,8 +7,9 @@
 # Election deadlines are drawn from one to two times this.
 ELECTION_TIMEOUT_S: typing.Final = 0.8
 GREETING_INTERVAL_S: typing.Final = 0.5
-# Time between attempts to load the data folder after a failed write.
-RELOAD_INTERVAL_S: typing.Final = 2.0
+# Time between attempts to load the data folder after a failed write. Another
+# replica's disk may fail next, and only two of three may be missing then.
+RELOAD_INTERVAL_S: typing.Final = 0.25
 
 APPEND_LIMIT_BYTES: typing.Final = 1024 * 1024
 SNAPSHOT_CHUNK_BYTES: typing.Final = 256 * 1024
--- a/packages/bambooring/src/bambooring/replication/storage.py
+++ b/packages/bambooring/src/bambooring/replication/storage.py
@@ -153,13 +153,22 @@
         snapshot = self._load_message(const.FILE_SNAPSHOT)
         return LoadedState(
             id=identity.id,
-            hard_state=(
-                self._load_message(const.FILE_STATE) or messages.HardState()
-            ),
+            hard_state=self._load_hard_state(),
             snapshot=snapshot,
             entries=self._load_entries(snapshot),
         )
 
+    def check_writable(self) -> None:
+        """Write the smallest file anew, with the content that it has.
+
+        :raises CorruptedDataError: if its content can't be trusted
+        :raises StorageError: if the disk can't be written
+        """
+        self.save_hard_state(self._load_hard_state())
+
+    def _load_hard_state(self) -> messages.HardState:
+        return self._load_message(const.FILE_STATE) or messages.HardState()
+
     def save_hard_state(self, state: messages.HardState) -> None:
         """Save the term and the vote."""
         self._save_message(const.FILE_STATE, state)
--- a/packages/bambooring/src/bambooring/replication/task.py
+++ b/packages/bambooring/src/bambooring/replication/task.py
@@ -84,6 +84,7 @@
         self._rng = rng
         self._pending_proposals: dict[int, _PendingProposal] = {}
         self._next_reload_at = 0.0
+        self._is_failure_logged = False
         self.id = 0
         self.replica: state_module.Replica | None = None
         self.group_bootstrap: bootstrap_module.GroupBootstrap | None = None
@@ -211,11 +212,17 @@
             return
         self._next_reload_at = now + const.RELOAD_INTERVAL_S
         try:
+            self._storage.check_writable()
             self._load(now)
         except errors.StorageError as error:
-            LOG.error(
-                'cannot load data folder; trying again', error=str(error)
-            )
+            if not self._is_failure_logged:
+                self._is_failure_logged = True
+                LOG.error(
+                    'cannot load data folder; trying again', error=str(error)
+                )
+            return
+        self._is_failure_logged = False
+        LOG.info('data folder loaded; replica runs again')
 
     def flush(self, now: float) -> None:
         """Save, send and apply all that is ready.
@@ -232,8 +239,34 @@
                 'cannot save replica state; stopping replica', error=str(error)
             )
             metrics.STORAGE_FAILURES.inc()
-            self.replica = None
-            self._next_reload_at = now + const.RELOAD_INTERVAL_S
+            self._stop_replica(now)
+
+    def _stop_replica(self, now: float) -> None:
+        """Hand over and forget the replica's state until it can be reloaded.
+
+        Proposals that wait are refused, so that they are sent to the next
+        leader. Their entries may be committed nevertheless, which is harmless
+        (see :mod:`bambooring.replication.proposer`).
+        """
+        replica = self.replica
+        assert replica is not None
+        self.replica = None
+        self._next_reload_at = now + const.RELOAD_INTERVAL_S
+        self._hand_over(replica)
+        pending_proposals = list(self._pending_proposals.values())
+        self._pending_proposals.clear()
+        for pending in pending_proposals:
+            pending.reply(self._make_refusal(pending.proposal_id))
+
+    def _hand_over(self, replica: state_module.Replica) -> None:
+        """Let a follower lead; nothing else that is unsaved may be sent."""
+        if not replica.transfer_leadership():
+            return
+        ready = replica.take_ready()
+        assert ready is not None
+        for envelope in ready.envelopes:
+            if isinstance(envelope.message, messages.TimeoutNow):
+                self._send(envelope.receiver_id, envelope.message)
 
     def _flush(self) -> None:
         while self.replica is not None:
