Know no engines while the log is applied again

Seen while testing full disks: a replica that had led before and has read its disk again holds no policy until its log is applied. Asked for a model group's engine in that time, it decompressed an empty document, and the error ended the process. A leader is asked when a rank reports from a group that it doesn't know yet.

Cause: only a change of the version was looked at, and a reload changes it to 0.

Change: without a policy there is no engine.

Evidence: test_engines_are_asked_for_while_disks_are_full ended before with zlib.error 'incomplete or truncated stream'.

--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -374,9 +374,12 @@
 
         It is decoded again whenever the policy changes.
 
-        :returns: None if the engines have no experts
+        :returns: None if the engines have no experts, or if no policy is known
+            yet, as after a reload of the log
         """
         newest = self._state_machine.policy.newest
+        if not newest.version:
+            return None
         if newest.version != self._engine_specs_version:
             self._engine_specs_version = newest.version
             document = policy_state.decompress(newest.document)
