Sync the log before a loaded replica counts it as saved

Seen while reading how a replica meets a full disk: a record that was written, but whose sync was refused and which could not be cut off again, is read at the next load. The replica then told the leader that it had saved it, though a loss of power could still take it. The same holds for what a killed process had written and not synced, and for a file's new name.

Cause: load() took what it could read as durable.

Change: load() syncs the log and the folder before it returns. A replica that starts while its disk is full and that has files ends, and is started again, as one without files did before.

Evidence: test_loaded_records_are_durable lists what is synced; before, nothing was.

--- a/packages/bambooring/src/bambooring/replication/storage.py
+++ b/packages/bambooring/src/bambooring/replication/storage.py
@@ -42,6 +42,9 @@
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to a size in bytes and sync it."""
 
+    def sync(self, name: str) -> None:
+        """Make durable what is in a file, and the names of all files."""
+
 
 @contextlib.contextmanager
 def _turn_errors(path: pathlib.Path) -> collections.abc.Iterator[None]:
@@ -107,6 +110,15 @@
             file.truncate(size)
             os.fsync(file.fileno())
 
+    def sync(self, name: str) -> None:
+        """Make durable what is in a file, and the names of all files."""
+        path = self._folder / name
+        with _turn_errors(path):
+            if path.exists():
+                with path.open('r+b') as file:
+                    os.fsync(file.fileno())
+            self._sync_folder()
+
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
         try:
@@ -142,6 +154,10 @@
     def load(self) -> LoadedState:
         """Read all files and cut off a torn record at the log's end.
 
+        What was written last may have been read without having been synced:
+        the process was killed or the sync was refused. Others are told of it
+        as saved, so it is synced first.
+
         :returns: what is stored, with a new id if the folder has none
         :raises CorruptedDataError: if a file's content can't be trusted
         :raises StorageError: if the disk can't be written
@@ -151,12 +167,14 @@
             identity = messages.ReplicaIdentity(id=self._make_id())
             self._save_message(const.FILE_IDENTITY, identity)
         snapshot = self._load_message(const.FILE_SNAPSHOT)
-        return LoadedState(
+        loaded = LoadedState(
             id=identity.id,
             hard_state=self._load_hard_state(),
             snapshot=snapshot,
             entries=self._load_entries(snapshot),
         )
+        self._disk.sync(const.FILE_LOG)
+        return loaded
 
     def check_writable(self) -> None:
         """Write the smallest file anew, with the content that it has.
--- a/packages/bambooring/src/bambooring/replication/tests/test_storage.py
+++ b/packages/bambooring/src/bambooring/replication/tests/test_storage.py
@@ -116,6 +116,31 @@
         written.load()
 
 
+# A record whose sync was refused was told as saved after the next load.
+def test_loaded_records_are_durable(tmp_path, monkeypatch):
+    """The log and the names of the files are synced before they are used."""
+    written = storage.Storage(storage.FolderDisk(tmp_path))
+    written.load()
+    synced = set()
+
+    def refuse(*arguments):
+        raise OSError(errno.ENOSPC, 'full')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, 'fdatasync', refuse)
+        patch.setattr(os, 'truncate', refuse)
+        with pytest.raises(errors.StorageError):
+            written.append_batch(_make_batch(1))
+    monkeypatch.setattr(
+        os, 'fsync', lambda descriptor: synced.add(os.fstat(descriptor).st_ino)
+    )
+    assert [entry.index for entry in written.load().entries] == [1]
+    assert synced == {
+        (tmp_path / 'log').stat().st_ino,
+        tmp_path.stat().st_ino,
+    }
+
+
 def test_files_in_a_folder_are_reloaded(tmp_path):
     """What was written is read again, with the same replica id."""
     folder = tmp_path / 'data'
--- a/proofs/disk.py
+++ b/proofs/disk.py
@@ -53,6 +53,13 @@
         """Truncate a file to a size in bytes."""
         self.files[name] = self.files[name][:size]
 
+    def sync(self, name: str) -> None:
+        """Do nothing, since each write is durable.
+
+        :raises StorageError: if the disk is full
+        """
+        self._check_space()
+
     def _check_space(self) -> None:
         if self.is_full:
             raise errors.StorageError('no space left on simulated disk')
