Probe targets after a rest only with retries to spare

Ruled out: the bound on refusals of a request, which rests don't count for; the target itself, as no target got a request twice from one request.

Change: a request probes a target only while half of the retry budget is left, unless no other has room; one that was refused with a rest prefers targets that run requests.

Evidence: test_no_probe_without_a_retry_to_spare (4 refusals where 1 is allowed) and test_refused_request_goes_to_a_target_that_serves_others (6 instead of 1) failed before.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -143,6 +143,7 @@
         excluded_ids: collections.abc.Container[str] = (),
         *,
         may_probe: bool = True,
+        prefers_serving: bool = False,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -153,6 +154,8 @@
         :param excluded_ids: the ids of targets that already had the request
         :param may_probe: whether to choose a target that needs a probe after
             its rest though another one has room
+        :param prefers_serving: whether a target that runs requests goes before
+            one with nothing to do, which may refuse all that it gets
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -164,6 +167,7 @@
         scored_candidates = [
             (
                 not may_probe and self.rests.needs_probe(target),
+                prefers_serving and not load.running,
                 self._score(target, load),
                 target,
             )
@@ -172,7 +176,7 @@
         ]
         if not scored_candidates:
             return None
-        _, _, best = min(scored_candidates, key=lambda item: item[:2])
+        *_, best = min(scored_candidates, key=lambda item: item[:3])
         self._groups.record_request(service, now_s)
         return Choice(
             target=best,
--- a/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
@@ -188,6 +188,20 @@
     assert _choose(balancer, 1.0, ['2'], may_probe=False) == '1'
 
 
+# Requests met one resting target after the other, since these had no load.
+def test_request_that_was_refused_goes_to_a_target_that_runs_others():
+    """If there is none, it goes to any."""
+    targets = [_make_target(str(number)) for number in range(1, 5)]
+    balancer = _make_balancer(*targets)
+    balancer.add_request('4', 10)
+    balancer.add_request('4', 10)
+    assert _choose(balancer, 0.0) != '4'
+    assert _choose(balancer, 0.0, prefers_serving=True) == '4'
+    assert _choose(balancer, 0.0, ['4'], prefers_serving=True) != '4'
+    balancer.rests.begin(targets[3], 3.0, 0.0)
+    assert _choose(balancer, 0.0, prefers_serving=True) is not None
+
+
 def test_change_of_an_announcement_does_not_end_a_rest():
     """A heartbeat of the same run, as of a group, says nothing of rests."""
     target = _make_target()
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -312,13 +312,18 @@
     ) -> balancing.Choice | None:
         """Choose a target; one that rested is probed by new requests.
 
-        A request that was sent before has lost time already.
+        A request that was sent before has lost time already, and one that is
+        refused as a probe costs a retry that others may need more. A target
+        that refuses everything has the least load of all, so a request that
+        one such has refused keeps away from others like it.
         """
         return self.balancer.choose(
             pending.service,
             now_s,
             pending.tried_targets,
-            may_probe=not pending.progress.attempt_count,
+            may_probe=not pending.progress.attempt_count
+            and self._budget.has_reserve(now_s),
+            prefers_serving=pending.progress.resting_count > 0,
         )
 
     def may_dispatch(self, pending: pending_request.PendingRequest) -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
@@ -263,6 +263,34 @@
     assert len(harness.targets[0].runs) > 1
 
 
+# Probes of many resting targets spent the retries, and callers were refused.
+def test_no_probe_without_a_retry_to_spare(make_harness):
+    """Callers are served by the others, as if the targets still rested."""
+    harness = make_harness(
+        harness_module.ask_for_rest, harness_module.respond_with_success
+    )
+    assert _ask(harness)[0] == b'200'
+    while harness.forwarder.spend_retry('test'):
+        pass
+    for number in range(10):
+        harness_module.advance(harness, 1.0)
+        assert _ask(harness, attempt_id=b'%d' % number)[0] == b'200'
+    assert harness.targets[0].refusals == 1
+
+
+# A request was refused by each resting target in turn, and then given up.
+def test_refused_request_goes_to_a_target_that_serves_others(make_harness):
+    """The first one to meet them all spares the targets without load."""
+    harness = make_harness(
+        *[harness_module.ask_for_rest] * 6, harness_module.hang
+    )
+    harness.balancer.add_request('t6', 1)
+    sock = harness.send_request(b'/read/1')
+    harness.turn_until(lambda: harness.targets[6].runs)
+    assert sum(target.refusals for target in harness.targets) == 1
+    sock.close()
+
+
 def test_restarted_targets_do_not_rest(make_harness):
     """The rest of an earlier run isn't the new run's."""
     harness = make_harness(harness_module.rest_once)
--- a/packages/bambooring/src/bambooring/routing/budget.py
+++ b/packages/bambooring/src/bambooring/routing/budget.py
@@ -98,9 +98,21 @@
         :param now: the current time in seconds
         :returns: True if the retry may be made
         """
-        self._add_tokens((now - self._refilled_at) * self._refill_per_s)
-        self._refilled_at = now
+        self._refill(now)
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
+
+    def has_reserve(self, now: float) -> bool:
+        """Return whether retries are left for more than what must be retried.
+
+        :param now: the current time in seconds
+        """
+        self._refill(now)
+        reserve = self._capacity * const.RETRY_RESERVE_SHARE
+        return self._tokens >= max(1.0, reserve)
+
+    def _refill(self, now: float) -> None:
+        self._add_tokens((now - self._refilled_at) * self._refill_per_s)
+        self._refilled_at = now
--- a/packages/bambooring/src/bambooring/routing/const.py
+++ b/packages/bambooring/src/bambooring/routing/const.py
@@ -26,6 +26,10 @@
 RETRY_BUDGET_INITIAL_TOKENS: typing.Final = 10.0
 RETRY_BUDGET_REFILL_PER_S: typing.Final = 0.5
 
+# The part of its capacity that the budget keeps for requests that failed, when
+# others would spend retries to find out more about targets.
+RETRY_RESERVE_SHARE: typing.Final = 0.5
+
 # The part of the shared retries that may be spent at once; the rest is
 # refilled over the window.
 BURST_SHARE: typing.Final = 0.5
--- a/packages/bambooring/src/bambooring/routing/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/routing/tests/test_state.py
@@ -76,3 +76,19 @@
     for _ in range(101):
         retry_budget.deposit()
     assert sum(retry_budget.try_withdraw(0.0) for _ in range(1000)) == 10
+
+
+def test_reserve_of_the_budget():
+    """Half of the capacity is kept, and at least one retry."""
+    retry_budget = budget.RetryBudget(
+        0.0, initial_tokens=6, capacity=6, refill_per_s=1.0
+    )
+    while retry_budget.has_reserve(0.0):
+        assert retry_budget.try_withdraw(0.0)
+    assert sum(retry_budget.try_withdraw(0.0) for _ in range(9)) == 2
+    assert not retry_budget.has_reserve(2.5)
+    assert retry_budget.has_reserve(3.5)
+    small_budget = budget.RetryBudget(
+        0.0, initial_tokens=0.9, capacity=1, refill_per_s=0
+    )
+    assert not small_budget.has_reserve(0.0)
