Look for a resting service no further than its first target at work

Each queued request asks at each poll whether all targets rest. It went through all targets of the service each time, which grows with the fleet; now it ends at the first one that doesn't rest. No behaviour changes: the tests of balancing and forwarding pass as before. Not measured.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -128,13 +128,13 @@
             and not self.leaving.is_marked(target)
         )
 
-    def _list_targets(self, service: str) -> list[targets.Target]:
-        """Return the targets of a service that take new work."""
-        return [
-            target
-            for target in self._targets_by_service.get(service, {}).values()
-            if not self.leaving.is_marked(target)
-        ]
+    def _list_targets(
+        self, service: str
+    ) -> collections.abc.Iterator[targets.Target]:
+        """Yield the targets of a service that take new work."""
+        for target in self._targets_by_service.get(service, {}).values():
+            if not self.leaving.is_marked(target):
+                yield target
 
     def choose(
         self,
@@ -324,7 +324,7 @@
 
     def get_capacity(self, service: str, now_s: float) -> ServiceCapacity:
         """Return a service's capacity, use and number of targets."""
-        service_targets = self._list_targets(service)
+        service_targets = list(self._list_targets(service))
         usable = [
             target
             for target in service_targets
@@ -358,12 +358,15 @@
         :param excluded_ids: the ids of targets that aren't waited for
         :returns: the time until then in seconds, None if one doesn't rest
         """
-        waits_s = [
-            self.rests.get_remaining_s(target, now_s)
-            for target in self._list_targets(service)
-            if target.id not in excluded_ids
-        ]
-        return min(waits_s, default=0.0) or None
+        first_s: float | None = None
+        for target in self._list_targets(service):
+            if target.id in excluded_ids:
+                continue
+            remaining_s = self.rests.get_remaining_s(target, now_s)
+            if not remaining_s:
+                return None
+            first_s = min(remaining_s, first_s or remaining_s)
+        return first_s
 
     def add_request(self, target_id: str, tokens: int) -> None:
         """Count a request that is sent to a target.
