--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -129,13 +129,13 @@
             and not self.leaving.is_marked(target)
         )
 
-    def _list_targets(self, service: str) -> list[targets.Target]:
-        """Return the targets of a service that take new work."""
-        return [
-            target
-            for target in self._targets_by_service.get(service, {}).values()
-            if not self.leaving.is_marked(target)
-        ]
+    def _list_targets(
+        self, service: str
+    ) -> collections.abc.Iterator[targets.Target]:
+        """Yield the targets of a service that take new work."""
+        for target in self._targets_by_service.get(service, {}).values():
+            if not self.leaving.is_marked(target):
+                yield target
 
     def choose(
         self,
@@ -144,6 +144,7 @@
         excluded_ids: collections.abc.Container[str] = (),
         *,
         may_probe: bool = True,
+        prefers_serving: bool = False,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -154,6 +155,8 @@
         :param excluded_ids: the ids of targets that already had the request
         :param may_probe: whether to choose a target that needs a probe after
             its rest though another one has room
+        :param prefers_serving: whether a target that runs requests goes before
+            one with nothing to do, which may refuse all that it gets
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -165,6 +168,7 @@
         scored_candidates = [
             (
                 not may_probe and self.rests.needs_probe(target),
+                prefers_serving and not load.running,
                 self._score(target, load),
                 target,
             )
@@ -173,7 +177,7 @@
         ]
         if not scored_candidates:
             return None
-        _, _, best = min(scored_candidates, key=lambda item: item[:2])
+        *_, best = min(scored_candidates, key=lambda item: item[:3])
         self._groups.record_request(service, now_s)
         return Choice(
             target=best,
@@ -321,7 +325,7 @@
 
     def get_capacity(self, service: str, now_s: float) -> ServiceCapacity:
         """Return a service's capacity, use and number of targets."""
-        service_targets = self._list_targets(service)
+        service_targets = list(self._list_targets(service))
         usable = [
             target
             for target in service_targets
@@ -355,12 +359,15 @@
         :param excluded_ids: the ids of targets that aren't waited for
         :returns: the time until then in seconds, None if one doesn't rest
         """
-        waits_s = [
-            self.rests.get_remaining_s(target, now_s)
-            for target in self._list_targets(service)
-            if target.id not in excluded_ids
-        ]
-        return min(waits_s, default=0.0) or None
+        first_s: float | None = None
+        for target in self._list_targets(service):
+            if target.id in excluded_ids:
+                continue
+            remaining_s = self.rests.get_remaining_s(target, now_s)
+            if not remaining_s:
+                return None
+            first_s = min(remaining_s, first_s or remaining_s)
+        return first_s
 
     def add_request(self, target_id: str, tokens: int) -> None:
         """Count a request that is sent to a target.
