Give the retry budget's test a dialect

Change: the tests' dialect in place of None. The check is the same.

Before: its three cases failed with AttributeError. After: they pass.

--- a/packages/bambooring/src/bambooring/gateway/tests/test_retry_budget.py
+++ b/packages/bambooring/src/bambooring/gateway/tests/test_retry_budget.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bambooring.forwarding.tests import harness as harness_module
 from bambooring.gateway import entry
 from bambooring.gateway import messages as gateway
 from bambooring.routing import budget as budget_module
@@ -38,7 +39,7 @@
             retry_slack=RETRY_SLACK,
         ),
         reactor=reactor,
-        dialect=None,  # type: ignore[arg-type]
+        dialect=harness_module.Dialect(),
         incarnation=number + 1,
     )
     entry_instance._set_retry_budget(instances)
