Move the queues of requests out of the forwarder

Change: Dispatcher decides when and where requests are sent, and what callers are told that can't be; the forwarder keeps admission and attempts. Moved as it was; callers name the dispatcher.

--- /dev/null
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -0,0 +1,376 @@
+"""Send requests to targets, or queue them until one has room.
+
+Each service has a queue. What waits too long, or for nothing, is given up at
+once.
+"""
+
+import collections.abc
+import random
+import typing
+
+import structlog
+
+from bambooring.balancing import const as balancing_const
+from bambooring.balancing import state as balancing
+from bambooring.crashes import state as crashes
+from bambooring.forwarding import const
+from bambooring.forwarding import decisions
+from bambooring.forwarding import messages
+from bambooring.routing import budget as budget_module
+from bambooring_core import reactor as reactor_module
+
+if typing.TYPE_CHECKING:
+    from bambooring.forwarding import pending_request
+
+LOG = structlog.get_logger(__name__)
+
+
+class Dispatcher:
+    """Decide when and where the requests of this instance are sent.
+
+    ``report_load`` tells the other entry instances of a changed load.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: reactor_module.Reactor,
+        balancer: balancing.Balancer,
+        budget: budget_module.RetryBudget,
+        rng: random.Random,
+        report_load: collections.abc.Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._balancer = balancer
+        self._budget = budget
+        self._rng = rng
+        self._report_load = report_load
+        self._queues: dict[str, list[pending_request.PendingRequest]] = {}
+        self._poll_timer: reactor_module.Timer | None = None
+        self._planned_stop: messages.PlannedStop | None = None
+
+    def count_queued(self) -> dict[str, int]:
+        """Return how many requests are queued, by service."""
+        return {
+            name: len(queue) for name, queue in self._queues.items() if queue
+        }
+
+    def dispatch_or_queue(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> None:
+        """Send a request to a target, or queue it until a slot is free.
+
+        If the wait would be too long, the request is given up.
+
+        :param pending: the request
+        """
+        if not self._may_start(pending):
+            pending.give_up(const.Reason.STOPPING)
+            return
+        decision = pending.suspicion.decide()
+        if decision.is_forbidden:
+            pending.give_up(const.Reason.SUSPECT)
+            return
+        queue = self._queues.setdefault(pending.service, [])
+        now_s = self._reactor.now()
+        queue_key = pending.get_queue_key(now_s)
+        ahead = [
+            other for other in queue if other.get_queue_key(now_s) < queue_key
+        ]
+        if not ahead and self._try_dispatch(pending):
+            return
+        if decision.status is crashes.Status.PROBE:
+            # Probes that waited would all be sent at once.
+            pending.give_up(const.Reason.SUSPECT)
+            return
+        if (
+            self._balancer.is_group_broken(pending.service)
+            and pending.should_retry_later
+        ):
+            pending.give_up(const.Reason.GROUP_BROKEN)
+            return
+        if self.refuse_for_rests(pending):
+            return
+        estimate = self._estimate_wait(pending.service, len(ahead), pending)
+        if self._wait_for_rests(pending, now_s):
+            return
+        if not estimate.is_worthwhile:
+            LOG.info(
+                'no place in the queue',
+                request=pending.request.attempt_id,
+                service=pending.service,
+                ahead=len(ahead),
+                wait_ms=round(estimate.wait_s * 1000),
+                limit_ms=round(estimate.limit_s * 1000),
+            )
+            pending.give_up(self._get_reject_reason(pending, now_s))
+            return
+        self._append_to_queue(
+            pending,
+            min(
+                now_s + max(0.0, estimate.limit_s),
+                pending.received_s + pending.max_wait_s,
+            ),
+        )
+
+    def _append_to_queue(
+        self, pending: 'pending_request.PendingRequest', deadline_s: float
+    ) -> None:
+        pending.queue_deadline_s = deadline_s
+        self._queues[pending.service].append(pending)
+        self._report_load()
+        self._schedule_poll()
+
+    def _may_start(self, pending: 'pending_request.PendingRequest') -> bool:
+        """Return whether a planned stop leaves time to start a request.
+
+        One that may have run goes on: its caller can't be told to retry.
+        """
+        if self._planned_stop is None or not pending.progress.may_be_refused:
+            return True
+        return decisions.may_start_before_stop(
+            self._planned_stop,
+            admitted_s=pending.admitted_s,
+            now_s=self._reactor.now(),
+            deadline_s=pending.deadline_s,
+            mean_duration_s=self._balancer.get_mean_duration_s(
+                pending.service
+            ),
+        )
+
+    def _get_rest_wait_s(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> float | None:
+        return self._balancer.get_rest_wait_s(
+            pending.service, self._reactor.now(), pending.tried_targets
+        )
+
+    def refuse_for_rests(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> bool:
+        """Refuse a request if all targets rest for longer than it waits.
+
+        :param pending: the request, which isn't queued
+        :returns: whether it has been refused
+        """
+        wait_s = self._get_rest_wait_s(pending)
+        if wait_s is None or not pending.progress.may_be_refused:
+            return False
+        estimate = self._estimate_wait(pending.service, 0, pending)
+        latest_wait_s = min(
+            estimate.limit_s,
+            pending.received_s + pending.max_wait_s - self._reactor.now(),
+        )
+        if wait_s <= latest_wait_s:
+            return False
+        pending.give_up(const.Reason.TARGETS_REST)
+        return True
+
+    def _wait_for_rests(
+        self, pending: 'pending_request.PendingRequest', now_s: float
+    ) -> bool:
+        """Queue a request that can't be refused until a target is back.
+
+        If it would have to wait for longer than its caller does, it is given
+        up at once: its caller may still try at another instance.
+
+        :returns: whether all targets rest
+        """
+        wait_s = self._get_rest_wait_s(pending)
+        if wait_s is None or pending.progress.may_be_refused:
+            return False
+        latest_start_s = self._get_latest_start_s(pending)
+        if now_s + wait_s > latest_start_s:
+            pending.give_up(const.Reason.TARGETS_REST)
+        else:
+            self._append_to_queue(pending, latest_start_s)
+        return True
+
+    def _get_latest_start_s(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> float:
+        """Return until when a request waits that can't be refused.
+
+        The caller of a stream that has begun counts from its last event.
+        """
+        if not pending.progress.is_response_started:
+            return pending.received_s + pending.max_wait_s
+        idle_s = decisions.get_stream_idle_s(pending.route)
+        return min(
+            pending.deadline_s,
+            self._reactor.now() + idle_s * const.STREAM_WAIT_SHARE,
+        )
+
+    def _get_reject_reason(
+        self, pending: 'pending_request.PendingRequest', now_s: float
+    ) -> const.Reason:
+        service = pending.service
+        if self._get_rest_wait_s(pending) is not None:
+            return const.Reason.TARGETS_REST
+        if not self._balancer.get_capacity(service, now_s).usable_target_count:
+            return const.Reason.NO_TARGET
+        if self._balancer.is_group_broken(service):
+            return const.Reason.GROUP_BROKEN
+        if self._balancer.is_unavailable(service, now_s):
+            return const.Reason.TARGET_REFUSED
+        return const.Reason.OVERLOAD
+
+    def _estimate_wait(
+        self,
+        service: str,
+        queued_ahead: int,
+        pending: 'pending_request.PendingRequest',
+    ) -> decisions.WaitEstimate:
+        now_s = self._reactor.now()
+        return decisions.estimate_wait(
+            self._balancer.get_capacity(service, now_s),
+            queued_ahead=queued_ahead,
+            mean_duration_s=self._balancer.get_mean_duration_s(service),
+            time_left_s=pending.get_time_left_s(),
+            is_group_broken=self._balancer.is_group_broken(service),
+        )
+
+    def _try_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
+        now_s = self._reactor.now()
+        choice = self._choose(pending, now_s)
+        if choice is None:
+            return False
+        pending.send_to_target(choice)
+        return True
+
+    def _choose(
+        self, pending: 'pending_request.PendingRequest', now_s: float
+    ) -> balancing.Choice | None:
+        """Choose a target; one that rested is probed by new requests.
+
+        A request that was sent before has lost time already, and one that is
+        refused as a probe costs a retry that others may need more. A target
+        that refuses everything has the least load of all, so a request that
+        one such has refused keeps away from others like it.
+        """
+        return self._balancer.choose(
+            pending.service,
+            now_s,
+            pending.tried_targets,
+            may_probe=not pending.progress.attempt_count
+            and self._budget.has_reserve(now_s),
+            prefers_serving=pending.progress.resting_count > 0,
+        )
+
+    def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
+        """Return whether a target could take a request now."""
+        if self._balancer.is_group_broken(pending.service):
+            return False
+        return self._choose(pending, self._reactor.now()) is not None
+
+    def _schedule_poll(self) -> None:
+        if self._poll_timer is None:
+            self._poll_timer = self._reactor.call_later(
+                const.QUEUE_POLL_INTERVAL_S, self._poll_queues
+            )
+
+    def _poll_queues(self) -> None:
+        self._poll_timer = None
+        self.dispatch_queued()
+        if any(self._queues.values()):
+            self._schedule_poll()
+
+    def dispatch_queued(self) -> None:
+        """Send queued requests to targets while there are free slots."""
+        for queue in self._queues.values():
+            now_s = self._reactor.now()
+            self._give_up_overdue(queue, now_s)
+            queue.sort(key=lambda pending: pending.get_queue_key(now_s))
+            while queue and self._dispatch_first(queue):
+                pass
+
+    def _give_up_overdue(
+        self, queue: list['pending_request.PendingRequest'], now_s: float
+    ) -> None:
+        """Give up requests that have waited as long as their callers do.
+
+        So are those that can't be started before a planned stop, and those
+        whose targets will all rest for longer.
+        """
+        for pending in list(queue):
+            reason = self._get_give_up_reason(pending, now_s)
+            if reason is not None:
+                pending.give_up(reason)
+
+    def _get_give_up_reason(
+        self, pending: 'pending_request.PendingRequest', now_s: float
+    ) -> const.Reason | None:
+        """Return why a queued request is given up now, None if it isn't."""
+        if not self._may_start(pending):
+            return const.Reason.STOPPING
+        if now_s >= pending.queue_deadline_s:
+            return self._get_reject_reason(pending, now_s)
+        wait_s = self._get_rest_wait_s(pending)
+        if wait_s is not None and now_s + wait_s > pending.queue_deadline_s:
+            return const.Reason.TARGETS_REST
+        return None
+
+    def _dispatch_first(
+        self, queue: list['pending_request.PendingRequest']
+    ) -> bool:
+        """Send the first queued request; return False if it must wait."""
+        pending = queue[0]
+        now_s = self._reactor.now()
+        choice = self._choose(pending, now_s)
+        if choice is None:
+            return False
+        queue.remove(pending)
+        pending.send_to_target(choice)
+        return True
+
+    def remove_from_queue(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> None:
+        """Remove a request from its queue, if it is queued."""
+        queue = self._queues.get(pending.service, [])
+        if pending in queue:
+            queue.remove(pending)
+
+    def plan_stop(self, planned_stop: messages.PlannedStop) -> None:
+        """Refuse from now on what can't be done before the process stops."""
+        self._planned_stop = planned_stop
+        self.dispatch_queued()
+
+    def get_retry_after_s(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> float:
+        """Return after how many seconds a rejected caller should retry.
+
+        The time is randomized, so that callers rejected at the same moment
+        don't all retry at the same moment.
+        """
+        decision = pending.suspicion.decide()
+        if decision.is_forbidden:
+            return max(decision.wait_s, const.RETRY_AFTER_MIN_S)
+        service = pending.service
+        now_s = self._reactor.now()
+        rest_wait_s = self._get_rest_wait_s(pending)
+        if rest_wait_s is not None:
+            # The first target to be back needs as long for one request.
+            spread_s = self._balancer.get_mean_duration_s(service)
+            wait_s = rest_wait_s + self._rng.uniform(0.0, spread_s)
+            return max(wait_s, const.RETRY_AFTER_MIN_S)
+        capacity = self._balancer.get_capacity(service, now_s)
+        if not capacity.usable_target_count or self._balancer.is_unavailable(
+            service, now_s
+        ):
+            share = const.OUTAGE_RETRY_AFTER_SHARE * self._rng.uniform(
+                0.85, 1.0
+            )
+            wait_s = share * pending.get_time_left_s()
+            return max(wait_s, const.RETRY_AFTER_MIN_S)
+        mean_duration_s = self._balancer.get_mean_duration_s(service)
+        slots = max(capacity.slots, balancing_const.DEFAULT_SLOTS_PER_TARGET)
+        waiting = (
+            len(self._queues.get(service, ())) + capacity.waiting_elsewhere
+        )
+        wait_s = mean_duration_s * (1 + waiting / slots)
+        wait_s *= self._rng.uniform(0.5, 1.0)
+        return min(
+            max(wait_s, const.RETRY_AFTER_MIN_S), const.RETRY_AFTER_MAX_S
+        )
--- a/packages/bambooring/src/bambooring/forwarding/forwarder.py
+++ b/packages/bambooring/src/bambooring/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 from bambooring.balancing import state as balancing
 from bambooring.crashes import task as crashes
 from bambooring.forwarding import attempt as attempt_module
+from bambooring.forwarding import dispatcher as dispatcher_module
 from bambooring.forwarding import events
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
@@ -23,6 +24,7 @@
     balancer: balancing.Balancer
     crash_guard: crashes.CrashGuard
     fairness: fairness_module.FairnessTracker
+    dispatcher: dispatcher_module.Dispatcher
     event_log: stalls.EventLog
     event_format: events.EventFormat
 
@@ -41,27 +43,6 @@
     def record_statements(self, attempt: attempt_module.Attempt) -> None:
         """Record what the head of a response says of its target."""
 
-    def refuse_for_rests(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> bool:
-        """Refuse a request if all targets rest for longer than it waits.
-
-        :returns: whether it has been refused
-        """
-
-    def dispatch_or_queue(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> None:
-        """Send a request to a target, or queue it until a slot is free."""
-
-    def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
-        """Return whether a target could take a request now."""
-
-    def remove_from_queue(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> None:
-        """Remove a request from its queue, if it is queued."""
-
     def spend_retry(self, reason: str) -> bool:
         """Take a retry from the retry budget.
 
@@ -82,8 +63,3 @@
         self, pending: 'pending_request.PendingRequest'
     ) -> None:
         """Forget a request that has ended."""
-
-    def get_retry_after_s(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> float:
-        """Return after how many seconds a rejected caller should retry."""
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -247,12 +247,12 @@
         attempt = self._attempt
         if attempt is None or self._caller.is_congested:
             return
-        if not self._forwarder.may_dispatch(self):
+        if not self._forwarder.dispatcher.may_dispatch(self):
             return
         if not self._claim_retry('stalled'):
             return
         self._abort_attempt('stalled')
-        self._forwarder.dispatch_or_queue(self)
+        self._forwarder.dispatcher.dispatch_or_queue(self)
 
     def _resume_reading(self) -> None:
         if self._attempt is not None:
@@ -270,7 +270,7 @@
             self._close_attempt(attempt, f'status_{response.status}')
             if self._forwarder.balancer.record_server_error(attempt.target.id):
                 self._forwarder.eject_target(attempt.target.id, 'server_error')
-            self._forwarder.dispatch_or_queue(self)
+            self._forwarder.dispatcher.dispatch_or_queue(self)
             return
         if attempt.stream is not None and attempt.stream.has_broken_off:
             # Whatever its framing says, the stream has been broken off.
@@ -385,10 +385,10 @@
             self.give_up(reason)
         elif self.suspicion.decide().is_forbidden:
             self.give_up(const.Reason.SUSPECT)
-        elif self._forwarder.refuse_for_rests(self):
+        elif self._forwarder.dispatcher.refuse_for_rests(self):
             return
         elif self._claim_retry(reason.value):
-            self._forwarder.dispatch_or_queue(self)
+            self._forwarder.dispatcher.dispatch_or_queue(self)
         else:
             self.give_up(reason)
 
@@ -433,7 +433,7 @@
         self.progress.may_have_run = True
         self._close_attempt(attempt, 'silent')
         self._forwarder.eject_target(attempt.target.id, 'silent')
-        self._forwarder.dispatch_or_queue(self)
+        self._forwarder.dispatcher.dispatch_or_queue(self)
 
     def recheck_suspicion(self) -> None:
         """End the request if it has become suspect and isn't answered yet."""
@@ -491,7 +491,7 @@
             return
         retry_after_s = const.STOPPING_RETRY_AFTER_S
         if reason is not const.Reason.STOPPING:
-            retry_after_s = self._forwarder.get_retry_after_s(self)
+            retry_after_s = self._forwarder.dispatcher.get_retry_after_s(self)
         error_response = decisions.build_final_error(
             self.progress, reason, retry_after_s
         )
@@ -512,7 +512,7 @@
             return
         self._is_over = True
         self._deadline_timer.cancel()
-        self._forwarder.remove_from_queue(self)
+        self._forwarder.dispatcher.remove_from_queue(self)
         self._forwarder.remove_request(self)
         if outcome != const.Reason.CALLER_LEFT:
             self._forwarder.fairness.record_result(
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
@@ -154,7 +154,7 @@
     ]
     harness.turn_until(lambda: len(harness.targets[1].runs) == 5)
     queued = harness.send_request(b'/book/1', attempt_id=b'queued')
-    harness.turn_until(lambda: harness.forwarder.count_queued())
+    harness.turn_until(lambda: harness.forwarder.dispatcher.count_queued())
     harness.targets[1].is_resting = True
     socks.pop(0).close()
     data, _ = _read_one(harness, queued)
@@ -185,7 +185,7 @@
     sock = harness.send_request(b'/talk/1')
     harness.turn_until(lambda: harness.targets[1].runs)
     harness.targets[1].cut_exchange.abort()
-    harness.turn_until(lambda: harness.forwarder.count_queued())
+    harness.turn_until(lambda: harness.forwarder.dispatcher.count_queued())
     harness_module.advance(harness, 0.8)
     assert not harness.targets[0].runs
     harness_module.advance(harness, 0.4)
@@ -204,7 +204,7 @@
     )
     harness.targets[0].rest = b'1.5'
     sock = harness.send_request(b'/read/1')
-    harness.turn_until(lambda: harness.forwarder.count_queued())
+    harness.turn_until(lambda: harness.forwarder.dispatcher.count_queued())
     harness_module.advance(harness, 1.3)
     assert not harness.targets[0].runs
     harness_module.advance(harness, 0.4)
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -364,7 +364,7 @@
 
     def _update_targets(self) -> None:
         self._balancer.set_targets(self._registry.list_usable())
-        self.forwarder.dispatch_queued()
+        self.forwarder.dispatcher.dispatch_queued()
 
     def _expire_targets(self) -> None:
         now_s = self._reactor.now()
@@ -435,7 +435,7 @@
                     per_target=limit,
                 )
             self._logged_limits = limits
-        self.forwarder.dispatch_queued()
+        self.forwarder.dispatcher.dispatch_queued()
 
     def _schedule_load_report(self, delay_s: float) -> None:
         self._load_reporter.schedule_report(delay_s)
@@ -444,7 +444,7 @@
         return self._balancer.make_load_report(
             self._settings.link_address,
             self._incarnation,
-            self.forwarder.count_queued(),
+            self.forwarder.dispatcher.count_queued(),
         )
 
     def _is_busy(self) -> bool:
@@ -454,8 +454,8 @@
         )
 
     def _handle_load_news(self) -> None:
-        if self.forwarder.count_queued():
-            self.forwarder.dispatch_queued()
+        if self.forwarder.dispatcher.count_queued():
+            self.forwarder.dispatcher.dispatch_queued()
 
     def leave(self) -> None:
         """Stop once no connection is open; callable from any thread.
@@ -477,7 +477,7 @@
             now_s + self._settings.stop_s - const.STOP_KILL_MARGIN_S
         )
         LOG.info('stopping', running=self.forwarder.pending_count)
-        self.forwarder.plan_stop(
+        self.forwarder.dispatcher.plan_stop(
             forwarding_messages.PlannedStop(
                 accept_until_s=now_s + const.STOP_ACCEPT_S,
                 end_s=now_s + running_s,
