Free what an attempt has buffered when it ends

The buffer of a failed attempt was meant to end with it, but timers that are cancelled and the request's own references keep the attempt for a while, up to 64 KiB each.

Ruled out: load.

Change: a reader is closed with its attempt and frees its buffer.

Conclusion: ending with the attempt is now done, not left to the collector.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -175,8 +175,8 @@
         if self._silence_timer is not None:
             self._silence_timer.cancel()
         if self.stream is not None:
-            self.stream.close()
             self.record.events = self.stream.counts.format()
+            self.stream.close()
         self.record.outcome = outcome
         elapsed_s = self._reactor.now() - self.began_s
         self.record.duration_ms = round(elapsed_s * 1000)
--- a/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
@@ -125,6 +125,7 @@
         )
 
     def close(self) -> None:
-        """Stop watching, because the attempt has ended."""
+        """Free the buffer and stop watching; the attempt has ended."""
+        self._reader.close()
         if self._stall_watch is not None:
             self._stall_watch.cancel()
--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -135,6 +135,11 @@
             self._counts, partial_bytes=len(self._buffer)
         )
 
+    def close(self) -> None:
+        """Free what is buffered, because the response has ended."""
+        self._buffer = bytearray()
+        self._comments = bytearray()
+
     def feed(self, data: bytes) -> collections.abc.Iterator[bytes]:
         """Add a part of the response's body and yield the complete events.
 
