Draw second answers that complete a cut one, and more large bodies

In the drawn test a second answer followed whole answers only. It follows cut ones too now, where its bytes may fill a length or a chunk. Where its head shows plainly it must not be passed on as a part of a whole body; of a body that is broken off, what its framing holds may have been passed on. Cuts fall more often behind the size up to which bodies are buffered, too.

--- a/packages/bambooring/src/bambooring/forwarding/tests/test_stutter.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_stutter.py
@@ -13,6 +13,7 @@
 import dataclasses
 import functools
 import os
+import re
 
 import hypothesis
 from hypothesis import strategies
@@ -139,12 +140,10 @@
 
     def _compute_sent(self):
         answer = self.answer
-        if answer.cut is not None and answer.cut < len(self.whole_answer):
-            sent = self.whole_answer[: answer.cut]
-        else:
-            # A copy inside a body with a length would be a part of that body,
-            # so copies follow whole answers only.
-            sent = self.whole_answer + self._make_copy()
+        sent = self.whole_answer[: answer.cut]
+        # A head that goes on with a copy is none, or the copy's.
+        if not self.is_cut or answer.cut >= self.head_size:
+            sent += self._make_copy()
         if answer.has_stale:
             stale = raw.frame([b'<stale>\n\n'], 'length', b'Stream: 1')
             sent = stale.replace(b'Id: 7', b'Id: 6') + sent
@@ -153,7 +152,17 @@
     @property
     def is_cut(self):
         """Whether the answer isn't sent to its end."""
-        return len(self.sent) < len(self.whole_answer)
+        cut = self.answer.cut
+        return cut is not None and cut < len(self.whole_answer)
+
+    @property
+    def head_size(self):
+        """The size of the head, also of an informational one."""
+        body = b'\r\n\r\n'
+        end = self.whole_answer.index(body) + len(body)
+        if self.answer.has_informational:
+            end = self.whole_answer.index(body, end) + len(body)
+        return end
 
     @property
     def is_success(self):
@@ -166,7 +175,7 @@
         if not self.is_success:
             return False
         if self.answer.framing != 'none':
-            return not self.is_cut
+            return not self.is_cut or self.is_completed_by_copy
         # Without a length the close is the end, wherever it comes; what an
         # event stream tells besides is checked with its events.
         return not self.answer.is_reset
@@ -180,6 +189,31 @@
             self.answer.has_informational
         )
 
+    @property
+    def is_completed_by_copy(self):
+        """Whether a cut body has its length with the bytes of the copy.
+
+        Nothing tells them apart but a head of the copy that shows plainly.
+        """
+        if self.answer.framing == 'none' or not self.is_cut:
+            return False
+        return self._read_sent()[1]
+
+    def _read_sent(self):
+        sent = self.sent[self.head_size :]
+        if self.answer.framing == 'length':
+            size = len(self.body)
+            return sent[:size], len(sent) >= size
+        body, is_whole, _ = _read_chunks(sent)
+        return body, is_whole
+
+    @property
+    def sent_content(self):
+        """Return all that may be passed on before the answer breaks off."""
+        if self.answer.framing == 'none':
+            return self.sent_body
+        return self._read_sent()[0]
+
     @property
     def sent_body(self):
         """Return what the framing shows as the body; not for event streams.
@@ -187,7 +221,9 @@
         Without a length it is all that follows the head until the close.
         """
         if self.answer.framing == 'none':
-            return self.sent[len(self.whole_answer) - len(self.body) :]
+            return self.sent[self.head_size :]
+        if self.is_completed_by_copy:
+            return self._read_sent()[0]
         return self.body
 
     @property
@@ -201,7 +237,7 @@
         copy = self.answer.copy
         return (
             copy is not None
-            and not self.is_cut
+            and (not self.is_cut or b'HTTP/1.' in self.sent_body)
             and copy.attempt_id == b'7'
             and len(self.sent_body) <= const.MAX_BUFFERED_BODY_BYTES
             and (copy.cut is None or copy.cut > 250)
@@ -257,15 +293,21 @@
 
 
 def _read_chunks(data):
-    """Return the content of chunks, whether it ended, and what follows."""
+    """Return the content of chunks, whether it ended, and what follows.
+
+    What follows is None if the chunks are malformed.
+    """
     content = bytearray()
     while b'\r\n' in data:
         size_line, _, rest = data.partition(b'\r\n')
+        if not re.fullmatch(b'[0-9a-f]+', size_line):
+            return bytes(content), False, None
         size = int(size_line, 16)
         content += rest[:size]
         if len(rest) < size + 2:
             return bytes(content), False, b''
-        assert rest[size : size + 2] == b'\r\n'
+        if rest[size : size + 2] != b'\r\n':
+            return bytes(content), False, None
         data = rest[size + 2 :]
         if not size:
             return bytes(content), True, data
@@ -385,12 +427,16 @@
         assert response.body in {
             run.sent_body
             for run in own_runs
-            if (not run.is_cut or run.answer.framing == 'none')
-            and not (run.answer.framing == 'none' and run.shows_copy)
+            if (
+                not run.is_cut
+                or run.answer.framing == 'none'
+                or run.is_completed_by_copy
+            )
+            and not (run.sent_body != run.body and run.shows_copy)
         }, 'MIXED'
     else:
         assert any(
-            run.sent_body.startswith(response.body) for run in own_runs
+            run.sent_content.startswith(response.body) for run in own_runs
         ), 'MIXED'
 
 
@@ -421,7 +467,7 @@
         if body != run.body and run.shows_copy:
             return False
         return run.may_be_whole and response.body == body
-    return not is_stream and body.startswith(response.body)
+    return not is_stream and run.sent_content.startswith(response.body)
 
 
 def _split_events(response, runs):
@@ -540,7 +586,9 @@
 
 _cuts = strategies.one_of(
     strategies.integers(0, 400),
-    strategies.sampled_from([70_000, 131_000, 131_072, 131_200, 200_000]),
+    strategies.sampled_from(
+        [70_000, 131_000, 131_072, 131_200, 135_000, 139_000, 200_000]
+    ),
 )
 _copies = strategies.builds(
     Copy,
