--- a/packages/agent/src/bambooring_agent/engine/task.py
+++ b/packages/agent/src/bambooring_agent/engine/task.py
@@ -143,9 +143,9 @@
         if start.priority:
             header_lines.append(f'X-Request-Priority: {start.priority}')
         handle.setopt(pycurl.HTTPHEADER, header_lines)
-        # On a kept connection a late second copy of a response is taken for
-        # that of the next request, and curl resends a request by itself if
-        # the connection turns out to be closed.
+        # On a kept connection a late second answer would be taken for that of
+        # the next request, and curl resends a request by itself if the
+        # connection turns out to be closed.
         handle.setopt(pycurl.FRESH_CONNECT, 1)
         handle.setopt(pycurl.FORBID_REUSE, 1)
 
