Refuse operators' changes that no message has room for

What callers saw: a change with an expected number of 2^64, a negative one or a name with half of a surrogate pair was proposed; the replica's loop has no room for it in a message. An infinite or deeply nested one failed in its own call with an unlogged 500.

Cause: types were converted rather than checked, and ranges not looked at.

Change: 422 by the ranges of bounds.py, before the change is proposed.

That a proposed one ends the replica is read in the code (the change is packed in the loop's thread), not played.

--- a/packages/bambooring/src/bambooring/operators/api.py
+++ b/packages/bambooring/src/bambooring/operators/api.py
@@ -13,6 +13,7 @@
 from bambooring.configuration import messages as configuration
 from bambooring.configuration import records
 from bambooring.operators import const
+from bambooring_core import bounds
 from bambooring_core import settings
 
 Response = werkzeug.wrappers.Response
@@ -179,21 +180,32 @@
         value = json.loads(data)
         edits = [_parse_edit(edit_value) for edit_value in value['edits']]
         change = configuration.Change(change=str(value['change']), edits=edits)
-    except (ValueError, KeyError, TypeError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         raise InvalidRequestError(f'malformed body: {error!r}') from error
     if not edits or len(edits) > configuration_const.MAX_EDITS:
         raise InvalidRequestError('edits: list is empty or too long')
-    if not 1 <= len(change.change) <= 100:
+    if not bounds.is_text(change.change, 100):
         raise InvalidRequestError('change: expected 1 to 100 characters')
     return change
 
 
 def _parse_edit(value: dict[str, typing.Any]) -> configuration.Edit:
     content = value.get('content')
+    kind, name = str(value['kind']), str(value['name'])
+    if not bounds.is_text(kind) or not bounds.is_text(name):
+        raise InvalidRequestError('kind, name: expected short texts')
+    if not bounds.is_count(value['expected'], bounds.LONG_BITS):
+        raise InvalidRequestError(f'{name}: expected: out of range')
     edit = configuration.Edit(
-        kind=str(value['kind']),
-        name=str(value['name']),
-        expected=int(value['expected']),
+        kind=kind,
+        name=name,
+        expected=value['expected'],
         content=json.dumps(content).encode() if content else b'',
         is_deleted=not content,
     )
