Decide at the head that a status is no promise

What callers would have seen: a target's 503 (or 408, 421, 429) for a booking that may have run, if its body is over 128 KiB. Found by drawn cases.

Cause: 'Promise nothing that a target didn't prove' looked at complete responses only; larger ones are passed on in parts.

Change: such a response fails when it would begin to be passed on.

After: forwarding, gateway, crashes and platform tests pass.

--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -191,6 +191,10 @@
             attempt.abort()
             self.handle_failure(attempt, 'no_stream')
             return
+        if decisions.is_unproved_promise(self.route, attempt.response):
+            attempt.abort()
+            self.handle_failure(attempt, 'unproved_promise')
+            return
         self._caller.start(attempt.response)
 
     def _make_stream(
