Let a probe's answer end only the rest before it

What callers would have seen, and targets: requests sent to a target within a rest that it had just asked for (BUDGET).

Cause: a request that was under way before a rest may be refused after the next probe has been sent. That prolonged the rest but kept the probe, whose answer then ended it.

Change: a rest that is prolonged forgets the probe under way.

Before: the new tests failed (six of six later requests reached the target within its rest). After: the tests of rests pass.

--- a/packages/bambooring/src/bambooring/balancing/rests.py
+++ b/packages/bambooring/src/bambooring/balancing/rests.py
@@ -58,7 +58,10 @@
         rest = self._rests.setdefault(
             runs_module.get_run(target), _Rest(until_s=until_s)
         )
-        rest.until_s = max(rest.until_s, until_s)
+        if until_s >= rest.until_s:
+            # A probe that is under way was sent before this was asked for.
+            rest.until_s = until_s
+            rest.probe = ''
         return rest.until_s - now_s
 
     def _drop_unknown_runs(self, now_s: float) -> None:
--- a/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
@@ -209,3 +209,17 @@
     balancer.rests.begin(target, 3.0, 0.0)
     balancer.set_targets([dataclasses.replace(target, sequence=9)])
     assert _choose(balancer, 1.0) is None
+
+
+# A late refusal prolonged a rest, and the probe's answer ended it early.
+def test_answer_to_a_probe_does_not_end_a_rest_begun_since():
+    """What was asked for while the probe was under way is newer."""
+    rests, target = rests_module.Rests(), _make_target()
+    rests.set_known_runs([runs_module.get_run(target)])
+    rests.begin(target, 1.0, 0.0)
+    rests.record_request(target, 'probe', 1.0)
+    rests.begin(target, 3.0, 1.1)
+    rests.record_answer(target, 'probe')
+    rests.record_end(target, 'probe')
+    assert not rests.may_send(target, 2.0)
+    assert rests.may_send(target, 4.2)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
@@ -353,3 +353,45 @@
     _run(harness, 40)
     sock.close()
     _run(harness, 5)
+
+
+def _rest_beside_two_under_way(target, exchange):
+    """Keep two requests, ask one for a rest, and run the others."""
+    if exchange.request.get(b'id') in (b'earlier', b'probe'):
+        target.hanging.append(exchange)
+    elif not target.refusals:
+        harness_module.ask_for_rest(target, exchange)
+    else:
+        harness_module.respond_with_success(target, exchange)
+
+
+# Requests reached a target in a rest that it had begun beside a probe.
+def test_answer_to_a_probe_does_not_end_a_rest_begun_since(make_harness):
+    """An earlier request is refused while the probe is under way."""
+    harness = make_harness(
+        _rest_beside_two_under_way, harness_module.respond_with_success
+    )
+    resting = harness.targets[0]
+    for _ in range(3):
+        harness.balancer.add_request('t1', 1)
+    socks = [harness.send_request(b'/book/1', attempt_id=b'earlier')]
+    harness.turn_until(lambda: resting.hanging)
+    resting.rest = b'1'
+    socks.append(harness.send_request(b'/book/2', attempt_id=b'other'))
+    harness.turn_until(lambda: resting.refusals)
+    harness_module.advance(harness, 1.2)
+    socks.append(harness.send_request(b'/book/3', attempt_id=b'probe'))
+    harness.turn_until(lambda: len(resting.hanging) == 2)
+    resting.rest = b'3'
+    harness_module.ask_for_rest(resting, resting.hanging[0])
+    harness.turn_until(lambda: harness.forwarder.pending_count == 1)
+    resting.hanging[1].respond(
+        200, [(b'Id', b'probe'), (b'Signed', b'1')], b'whole'
+    )
+    harness.turn_until(lambda: not harness.forwarder.pending_count)
+    harness_module.advance(harness, 0.6)
+    for number in range(6):
+        assert _ask(harness, attempt_id=b'%d' % number)[0] == b'200'
+    assert not resting.runs
+    for sock in socks:
+        sock.close()
