Let requests pass one whose remaining targets rest

What callers would have seen: 503 for overload beside an idle target, while a broken stream whose only untried target rests stood first in the queue.

Cause: a queue is served from its head, and what finds no target there stops the search. With a full target that was over in a moment; a rest lasts seconds.

Change: a request that has tried targets and finds none is passed by the others. One that has tried none still stops the search, as any target would do.

Before: the three new cases failed.

Conclusion: the class is older than rests, and mended for both.

--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -77,7 +77,8 @@
         ahead = [
             other for other in queue if other.get_queue_key(now_s) < queue_key
         ]
-        if not ahead and self._try_dispatch(pending):
+        is_held_up = any(self._holds_up_others(other) for other in ahead)
+        if not is_held_up and self._try_dispatch(pending):
             return
         if decision.status is crashes.Status.PROBE:
             # Probes that waited would all be sent at once.
@@ -113,6 +114,15 @@
             ),
         )
 
+    def _holds_up_others(
+        self, queued: 'pending_request.PendingRequest'
+    ) -> bool:
+        """Return whether requests behind a queued one wait for it.
+
+        One that no untried target may take yet is passed by others.
+        """
+        return not queued.tried_targets or self.may_dispatch(queued)
+
     def _append_to_queue(
         self, pending: 'pending_request.PendingRequest', deadline_s: float
     ) -> None:
@@ -313,15 +323,21 @@
     def _dispatch_first(
         self, queue: list['pending_request.PendingRequest']
     ) -> bool:
-        """Send the first queued request; return False if it must wait."""
-        pending = queue[0]
+        """Send the first queued request that a target may take.
+
+        :returns: whether there was one
+        """
         now_s = self._reactor.now()
-        choice = self._choose(pending, now_s)
-        if choice is None:
-            return False
-        queue.remove(pending)
-        pending.send_to_target(choice)
-        return True
+        for pending in queue:
+            choice = self._choose(pending, now_s)
+            if choice is not None:
+                queue.remove(pending)
+                pending.send_to_target(choice)
+                return True
+            if not pending.tried_targets:
+                # Any target would do, so there is none for the others either.
+                return False
+        return False
 
     def remove_from_queue(
         self, pending: 'pending_request.PendingRequest'
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
@@ -395,3 +395,32 @@
     assert not resting.runs
     for sock in socks:
         sock.close()
+
+
+def _cut_first(target, exchange):
+    """Cut the stream of one request; run the others to their end."""
+    if not target.runs:
+        harness_module.cut_stream(target, exchange)
+    elif exchange.request.target.startswith('/talk/'):
+        harness_module.send_stream(target, exchange)
+    else:
+        harness_module.respond_with_success(target, exchange)
+
+
+# A stream that waited for a rest held up all that other targets could run.
+@pytest.mark.parametrize('path', [b'/read/2', b'/book/2', b'/talk/2'])
+def test_stream_that_waits_for_a_rest_holds_up_no_others(make_harness, path):
+    """Its own remaining target rests; theirs is idle."""
+    harness = make_harness(harness_module.ask_for_rest, _cut_first)
+    harness.targets[0].rest = b'1.4'
+    first = harness.send_request(b'/talk/1', attempt_id=b'1')
+    harness.turn_until(lambda: harness.targets[1].runs)
+    harness.targets[1].cut_exchange.abort()
+    harness.turn_until(lambda: harness.forwarder.dispatcher.count_queued())
+    harness_module.advance(harness, 0.6)
+    second = harness.send_request(path, attempt_id=b'2')
+    harness_module.advance(harness, 0.2)
+    runs = list(harness.targets[1].runs)
+    first.close()
+    second.close()
+    assert runs == [b'1', b'2']
