Probe a target some time after its rest, retries or not

What callers would have seen: a service short of one target for as long as retries are short, and in fleets of more instances than the shared retries for good.

Cause: a target that needs a probe was passed over while the retry budget had no reserve. An instance's share of the budget may never reach it.

Change: ten seconds after its rest it is probed whatever the budget says.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -33,6 +33,10 @@
 # still wants it. A time in a wrong unit must not exclude it for a day.
 REST_MAX_S: typing.Final = 300.0
 
+# How long after its rest a target waits for retries to spare before it is
+# probed without them, so that it isn't left out for good.
+PROBE_MAX_DELAY_S: typing.Final = 10.0
+
 # How long a run that leaves is remembered after it has said so, if it isn't
 # announced any more. Longer than announcements are kept without heartbeats.
 LEAVING_RETENTION_S: typing.Final = 600.0
--- a/packages/bambooring/src/bambooring/balancing/rests.py
+++ b/packages/bambooring/src/bambooring/balancing/rests.py
@@ -88,6 +88,13 @@
         """Return whether a target has answered nothing since its rest."""
         return runs_module.get_run(target) in self._rests
 
+    def may_wait_for_probe(self, target: targets.Target, now_s: float) -> bool:
+        """Return whether a probe may be put off until retries are left."""
+        rest = self._rests.get(runs_module.get_run(target))
+        if rest is None:
+            return False
+        return now_s < rest.until_s + const.PROBE_MAX_DELAY_S
+
     def record_request(
         self, target: targets.Target, request_id: str, now_s: float
     ) -> None:
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -167,7 +167,7 @@
         candidates = self._list_candidates(service, now_s, excluded_ids)
         scored_candidates = [
             (
-                not may_probe and self.rests.needs_probe(target),
+                not may_probe and self.rests.may_wait_for_probe(target, now_s),
                 prefers_serving and not load.running,
                 self._score(target, load),
                 target,
--- a/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
@@ -223,3 +223,16 @@
     rests.record_end(target, 'probe')
     assert not rests.may_send(target, 2.0)
     assert rests.may_send(target, 4.2)
+
+
+# A target that had rested got no request for good while retries were short.
+def test_target_is_probed_some_time_after_its_rest_without_spare_retries():
+    """One that recovered is used again though retries stay short."""
+    rested, other = _make_target('1'), _make_target('2')
+    balancer = _make_balancer(rested, other)
+    balancer.rests.begin(rested, 1.0, 0.0)
+    chosen = {
+        _choose(balancer, float(now_s), may_probe=False)
+        for now_s in range(1, 3600)
+    }
+    assert chosen == {'1', '2'}
