Don't prefer a full target to an idle one after a rest

What callers would have seen: a request that a resting target refused waited at a full target though another had nothing to do.

Cause: a refused request preferred any target that runs requests, since one that refuses all has none.

Change: it prefers those that run requests and have a free slot.

Before: the new test failed. After: the tests of rests pass.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -168,7 +168,7 @@
         scored_candidates = [
             (
                 not may_probe and self.rests.may_wait_for_probe(target, now_s),
-                prefers_serving and not load.running,
+                prefers_serving and not self._serves_with_room(target, load),
                 self._score(target, load),
                 target,
             )
@@ -229,6 +229,13 @@
             self._rng.random(),
         )
 
+    def _serves_with_room(
+        self, target: targets.Target, load: peers_module.RunningLoad
+    ) -> bool:
+        """Return whether a target runs requests and has a free slot."""
+        slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+        return 0 < load.running < slots
+
     def _has_room(
         self, target: targets.Target, load: peers_module.RunningLoad
     ) -> bool:
--- a/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
@@ -236,3 +236,13 @@
         for now_s in range(1, 3600)
     }
     assert chosen == {'1', '2'}
+
+
+# A request refused once waited in a full target's queue beside an idle one.
+def test_refused_request_goes_to_no_full_target_beside_an_idle_one():
+    """Targets that run something go first only while they have a slot."""
+    full, idle = _make_target('1'), _make_target('2')
+    balancer = _make_balancer(full, idle)
+    for _ in range(full.slots):
+        balancer.add_request('1', 10)
+    assert _choose(balancer, 0.0, prefers_serving=True) == '2'
