Let a rest last as long as a refusal's pause at least

What targets would have seen: the same request every 22 ms, twenty times, after they had asked for a rest of a millisecond.

Cause: a refusal with a rest replaced the pause of 0.1 s after other refusals, and has a bound of attempts of its own.

Change: a rest lasts at least as long as that pause.

Before: the new test failed. After: the tests of rests pass.

--- a/packages/bambooring/src/bambooring/balancing/rests.py
+++ b/packages/bambooring/src/bambooring/balancing/rests.py
@@ -54,7 +54,8 @@
         :returns: how long it rests, in seconds
         """
         self._drop_unknown_runs(now_s)
-        until_s = now_s + min(asked_s, const.REST_MAX_S)
+        rest_s = max(asked_s, const.BUSY_TARGET_BACKOFF_S)
+        until_s = now_s + min(rest_s, const.REST_MAX_S)
         rest = self._rests.setdefault(
             runs_module.get_run(target), _Rest(until_s=until_s)
         )
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_rests.py
@@ -424,3 +424,23 @@
     first.close()
     second.close()
     assert runs == [b'1', b'2']
+
+
+# A refusal with a rest of a millisecond was repeated as fast as it came.
+def test_rest_of_a_moment_is_no_shorter_than_a_refusal_without_one(
+    make_harness,
+):
+    """The target isn't asked more often than a busy one."""
+    harness = make_harness(harness_module.ask_for_rest)
+    harness.targets[0].rest = b'0.001'
+    sock = harness.send_request(b'/read/1')
+    harness.read_response(sock)
+    gaps_s = [
+        later - earlier
+        for earlier, later in zip(
+            harness.targets[0].refused_s,
+            harness.targets[0].refused_s[1:],
+            strict=False,
+        )
+    ]
+    assert not [gap_s for gap_s in gaps_s if gap_s < 0.1], gaps_s
