Don't count on the slots of a target that is being probed

What callers would have seen: a place in the queue for slots that nobody may use yet.

Cause: only resting targets were left out of a service's capacity.

Change: so are those with a probe under way.

Before: the new test failed. After: the tests of rests pass.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -337,7 +337,7 @@
             target
             for target in service_targets
             if self._is_healthy(target.id, now_s)
-            and not self.rests.get_remaining_s(target, now_s)
+            and self.rests.may_send(target, now_s)
         ]
         return ServiceCapacity(
             target_count=len(service_targets),
--- a/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
@@ -246,3 +246,14 @@
     for _ in range(full.slots):
         balancer.add_request('1', 10)
     assert _choose(balancer, 0.0, prefers_serving=True) == '2'
+
+
+# The slots of a target that waits for its probe's answer counted as free.
+def test_target_under_probe_is_no_capacity():
+    """It takes nothing until it has begun to answer the probe."""
+    target = _make_target()
+    balancer = _make_balancer(target)
+    balancer.rests.begin(target, 1.0, 0.0)
+    balancer.rests.record_request(target, 'probe', 1.0)
+    assert _choose(balancer, 1.1) is None
+    assert not balancer.get_capacity('llm', 1.1).usable_target_count
