Read what a target sent before it stopped reading

What callers would have seen: a booking with a long body failed as one that may have run, though its target had refused it and said so before it closed.

Cause: when sending failed, the call failed without reading what had come.

Change: what was received is read first.

--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -165,11 +165,19 @@
             except BlockingIOError:
                 sent = 0
             except OSError:
+                self._receive_last()
                 self._fail(errors.Failure.RESET)
                 return
             del self._out_buffer[:sent]
         self._watch()
 
+    def _receive_last(self) -> None:
+        """Receive what a server sent before it stopped reading, if any."""
+        assert self._socket is not None
+        with contextlib.suppress(OSError):
+            if self._socket.recv(1, socket.MSG_PEEK):
+                self._receive()
+
     def _receive(self) -> None:
         assert self._socket is not None
         try:
