--- a/packages/bambooring/src/bambooring/replication/storage.py
+++ b/packages/bambooring/src/bambooring/replication/storage.py
@@ -206,7 +206,10 @@
         :param following_entries: the entries that follow it
         """
         self._save_message(const.FILE_SNAPSHOT, snapshot)
-        batch = messages.Batch(truncate_from=0, entries=following_entries)
+        self._save_log(following_entries)
+
+    def _save_log(self, entries: list[messages.Entry]) -> None:
+        batch = messages.Batch(truncate_from=0, entries=entries)
         self._disk.replace(const.FILE_LOG, _frame_record(codec.pack(batch)))
 
     def _save_message(self, name: str, message: typing.Any) -> None:
@@ -225,8 +228,17 @@
         self, snapshot: messages.SnapshotFile | None
     ) -> list[messages.Entry]:
         log = log_module.Log(snapshot.head if snapshot else None)
+        term_at_head = log.snapshot_head.term
         for batch in self._read_batches():
             _replay_batch(log, batch)
+            for entry in batch.entries:
+                if entry.index == log.snapshot_head.index:
+                    term_at_head = entry.term
+        if term_at_head != log.snapshot_head.term:
+            # The log wasn't rewritten after the snapshot of another log. What
+            # is appended to it later must not follow these entries either.
+            self._save_log([])
+            return []
         return log.get_entries_from(log.first_index)
 
     def _read_batches(self) -> collections.abc.Iterator[messages.Batch]:
--- a/packages/bambooring/src/bambooring/replication/tests/test_storage.py
+++ b/packages/bambooring/src/bambooring/replication/tests/test_storage.py
@@ -152,3 +152,42 @@
     assert reloaded.id == loaded.id
     assert reloaded.hard_state == messages.HardState(term=4, voted_for=9)
     assert [entry.index for entry in reloaded.entries] == [1]
+
+
+def _make_entry(index, term):
+    return messages.Entry(
+        index=index, term=term, kind=messages.EntryKind.COMMAND, data=b'x'
+    )
+
+
+class _LogRefusingDisk(disk_module.MemoryDisk):
+    """A disk that is full by the time the log is rewritten."""
+
+    is_log_refused = False
+
+    def replace(self, name, data):
+        """Replace a file, unless it is the log and the log is refused."""
+        if self.is_log_refused and name == 'log':
+            raise errors.StorageError('no space left')
+        super().replace(name, data)
+
+
+# Entries that a snapshot had discarded came back, and votes went by them.
+def test_entries_behind_another_log_are_not_loaded():
+    """A log whose rewriting was refused is used as far as it agrees."""
+    disk = _LogRefusingDisk(random.Random(3))
+    stored = storage.Storage(disk)
+    stored.load()
+    stale_entries = [_make_entry(index, 3) for index in range(1, 13)]
+    stored.append_batch(messages.Batch(truncate_from=0, entries=stale_entries))
+    head = messages.SnapshotHead(index=10, term=5, members=[])
+    disk.is_log_refused = True
+    with pytest.raises(errors.StorageError):
+        stored.save_snapshot(messages.SnapshotFile(head=head, data=b''), [])
+    disk.is_log_refused = False
+    assert _load(disk) == []
+    entry = _make_entry(11, 5)
+    storage.Storage(disk).append_batch(
+        messages.Batch(truncate_from=0, entries=[entry])
+    )
+    assert _load(disk) == [entry]
