Read nothing more on a connection that is closing

What callers would have seen: a cut response if they had sent more input behind a request that was answered at once, as by a stopping instance.

Cause: after such a response the loop read on, the parser refused what followed, and the refusal closed the connection with the response unsent.

Change: a connection that is closing isn't read any more.

Before: the new test failed. After: the tests of HTTP pass.

--- a/packages/core/src/bambooring_core/http1/server.py
+++ b/packages/core/src/bambooring_core/http1/server.py
@@ -187,7 +187,9 @@
         self._update_watch()
 
     def _read_events(self) -> None:
-        while self.is_open and self._exchange is None:
+        while (
+            self.is_open and not self._is_lingering and self._exchange is None
+        ):
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._handle_need_data()
--- a/packages/core/src/bambooring_core/http1/tests/test_closing.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_closing.py
@@ -95,3 +95,19 @@
         _advance(clock, reactor)
     assert not server.has_connections
     caller.sock.close()
+
+
+# A response was cut off because its caller had sent more than one request.
+def test_response_is_whole_though_more_was_received(closing_server):
+    """What follows the last request is read by nobody and harms nothing."""
+    clock, reactor, server = closing_server
+    caller = SlowCaller(server.port)
+    caller.sock.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    for _ in range(200):
+        _advance(clock, reactor)
+        for _ in range(10):
+            caller.read(1_000_000)
+        if caller.is_ended:
+            break
+    assert caller.is_ended
+    assert bytes(caller.received).partition(b'\r\n\r\n')[2] == LONG_BODY
