--- a/packages/bambooring/src/bambooring/replication/tests/test_full_disk.py
+++ b/packages/bambooring/src/bambooring/replication/tests/test_full_disk.py
@@ -21,6 +21,10 @@
         self.disk = disk_module.MemoryDisk(random.Random(1))
         self.now_s = 0.0
         self.replies: list[messages.Proposed] = []
+        self.start()
+
+    def start(self):
+        """Start a process with what is on the disk."""
         self.replicator = task.Replicator(
             storage=storage.Storage(self.disk),
             state_machine=state_machine_module.ControlStateMachine(),
@@ -80,3 +84,15 @@
     replica.run_for(2.0)
     replica.propose()
     assert replica.replies[-1].is_accepted
+
+
+# A control replica that started while its disk was full ended again and again.
+def test_replica_starts_while_its_disk_is_full(replica):
+    """What it has can be read, so it waits for room as it does later."""
+    replica.disk.is_full = True
+    replica.start()
+    assert replica.replicator.replica is None
+    replica.run_for(1.0)
+    replica.disk.is_full = False
+    replica.run_for(4.0)
+    assert replica.replicator.is_leader
--- a/packages/bambooring/src/bambooring/targets/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/targets/tests/test_state.py
@@ -322,3 +322,19 @@
     assert registry.find_rank('g', 2) is None
     registry.mark_gone('i-2', 200, 1)
     assert registry.find_rank('g', 0) is None
+
+
+# One entry of another writer kept a sound target unused for two minutes.
+def test_target_outlives_a_high_sequence_number():
+    """An odd entry under a run's id and start doesn't silence the run."""
+    registry = state.Registry(HEARTBEAT_S)
+    registry.apply_announcement(_make_target(), 0)
+    odd = _make_target(sequence=2**53)
+    registry.settle_dispute(odd, 0.5)
+    registry.apply_announcement(odd, 0.5)
+    for now_s in range(1, 60):
+        target = _make_target(sequence=now_s + 1)
+        registry.settle_dispute(target, now_s)
+        registry.apply_announcement(target, now_s)
+        list(registry.expire(now_s))
+    assert _list_usable_ids(registry) == ['i-1']
