--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -359,7 +359,7 @@
         now_s: float,
         excluded_ids: collections.abc.Container[str] = (),
     ) -> float | None:
-        """Return when the first target is back, if all of them rest.
+        """Return how long the first target still rests, if all of them do.
 
         :param service: the service's name
         :param now_s: the current time in seconds
