Rotate the soak's keys to names that no account has

Cause: the soak names a new key by the policy's version, k-2 for version 2, and that is the first key of the other account. If the very first change, to version 2, rotates a key of t-1, the policy gives k-2 to t-1 while callers still use it as that of t-2. The product did as the policy said. All 20 lines name t-1, as this explains; whether that run's first change was such a one was not logged.

Change: new keys have names of their own. The check is the same.

Before: the new test failed for one of its versions. After: it passes.

--- a/soak/operator.py
+++ b/soak/operator.py
@@ -71,7 +71,7 @@
         old_key, account = self._rng.choice(
             sorted(self._accounts_by_key.items())
         )
-        new_key = f'k-{self._version}'
+        new_key = f'k-new-{self._version}'
         self._accounts_by_key[new_key] = account
         if not self._publish_policy(deadline_s=time.monotonic() + 3.0):
             del self._accounts_by_key[new_key]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 from soak import cluster as cluster_module
 from soak import faults as faults_module
 from soak import history as history_module
+from soak import operator as operator_module
 from soak import relay as relay_module
 
 SHORT_DURATION_S = 6.0
@@ -388,3 +389,20 @@
 def test_short_soak(seed, tmp_path):
     """The real processes keep their guarantees under a few faults."""
     assert soak_main.run_seed(seed, SHORT_DURATION_S, tmp_path) == []
+
+
+# The soak took a key of one account for that of another (seed 9006).
+def test_rotated_key_is_no_key_that_callers_have(monkeypatch):
+    """Whatever the version is, also that of the second policy."""
+    cluster = mock.Mock()
+    cluster.history.revoked_s = {}
+    monkeypatch.setattr(operator_module.time, 'sleep', lambda seconds: None)
+    for version in range(1, 6):
+        operator = operator_module.Operator(cluster, random.Random(version))
+        operator._version = version
+        before = dict(operator._accounts_by_key)
+        monkeypatch.setattr(operator, '_publish_policy', lambda deadline_s: 1)
+        operator._rotate_key()
+        (kept,) = before.keys() & operator._accounts_by_key.keys()
+        assert operator._accounts_by_key[kept] == before[kept]
+        assert len(operator._accounts_by_key) == 2
