--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -80,7 +80,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.network = f'127.{random.randrange(30, 240)}.{random.randrange(1, 250)}'
         # Some addresses are kept for core machines that are added later.
-        hosts = list(range(1, 1 + cores + 5)) + list(range(20, 20 + edges))
+        hosts = list(range(1, 1 + cores + 9)) + list(range(20, 20 + edges))
         hosts.append(200)
         first = _find_ports(self.network, hosts, 24)
         self.frontend, self.ready, self.control = first, first + 1, first + 2
@@ -94,6 +94,7 @@
             'retryWindowS': 10, 'retrySlack': 207, 'recoveryS': 12,
         } | (bounds or {})
         self.machines = {}
+        self._added, self._first_added = 0, cores
         # What all servers have begun to run.
         self.all_runs = []
         for index in range(cores):
@@ -178,7 +179,8 @@
 
     def add_core(self, zone):
         """Add a core machine with an empty disk at a new address."""
-        host = max(m.host for m in self.cores) + 1
+        self._added += 1
+        host = self._first_added + self._added
         name = f'core-{zone}-{host}'
         machine = Machine(name, 'control', host, zone)
         self.machines[name] = machine
