--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,8 +13,11 @@
 SERVERS = 9
 BACK_S = 3.0
 CONTACT_S = 3.0
-PLAY_S = 45.0
-DEADLY_EVERY_S = 1.0
+PLAY_S = 38.0
+# Under one in twenty of the requests, for 22 s.
+DEADLY_EVERY_S = 2.0
+DEADLY_START_S = 8.0
+DEADLY_S = 22.0
 SOUND_EVERY_S = 0.1
 EVENTS = 24
 EVENT_PAUSE_S = 0.02
@@ -105,7 +108,6 @@
     )
     await deployment.wait_ready()
     await asyncio.sleep(1.5)
-    end = time.monotonic() + PLAY_S
     results = {'sound': [], 'deadly': []}
     ids = {}
 
@@ -126,17 +128,18 @@
         client.close()
         results[kind].append((answer.status, answer.ending))
 
-    async def send(kind, part, every_s, start_s):
+    async def send(kind, part, every_s, start_s, for_s):
         tasks = []
         await asyncio.sleep(start_s)
+        end = time.monotonic() + for_s
         while time.monotonic() < end:
             tasks.append(asyncio.ensure_future(ask(kind, part)))
             await asyncio.sleep(every_s)
         await asyncio.gather(*tasks)
 
     await asyncio.gather(
-        send('sound', COMMON, SOUND_EVERY_S, 0),
-        send('deadly', DEADLY, DEADLY_EVERY_S, 8.0),
+        send('sound', COMMON, SOUND_EVERY_S, 0, PLAY_S),
+        send('deadly', DEADLY, DEADLY_EVERY_S, DEADLY_START_S, DEADLY_S),
     )
     crashes = sorted(at for place in places for at in place.crashes)
     runs = deployment.all_runs
