Link new control replicas to the voters that others know

What callers would see: a machine of the core that is added with seeds that don't name the leader serves its calls (it sends them on), but never becomes a voter. The group bears no loss more than before, and once the old machines are gone there is no majority: no configuration (CONFIG), no leases.

Cause: a leader takes in only replicas that it is linked to. A new replica dials its seeds, which dial it in turn; the leader hears of it only if it is one of them. A replica learns the voters from the log, which only the leader sends.

Ruled out: that the seeds always name the leader. They are three machines of a list that lags by seconds; with four running the leader may be the fourth.

Change: a greeting names the voters that its sender knows, and a gateway's control replica links to them.

--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -351,6 +351,15 @@
             for address in self._hub.get_dialled_addresses() - wanted - linked:
                 self._hub.disconnect(address)
 
+    def _handle_member_names(self, names: list[str]) -> None:
+        """Link to the voters that another replica knows of.
+
+        The seeds of a new replica may not name the leader, and the leader
+        doesn't take in a replica that it isn't linked to.
+        """
+        for address in names:
+            self._hub.keep_connected(address)
+
     def _handle_other_message(
         self, link: links.Link, message: typing.Any
     ) -> None:
--- a/packages/bambooring/src/bambooring/replica.py
+++ b/packages/bambooring/src/bambooring/replica.py
@@ -181,6 +181,7 @@
                 self._replica_ids_by_link[link] = message.id
                 self._replica_ids_by_name[link.name] = message.id
                 self._replicator.handle_greeting(message)
+                self._handle_member_names(message.member_names)
             case replication.Propose():
                 self._propose(message, link.send)
             case replication.Proposed():
@@ -191,6 +192,9 @@
             case _:
                 self._handle_other_message(link, message)
 
+    def _handle_member_names(self, names: list[str]) -> None:
+        """Learn which voters another replica knows of; for subclasses."""
+
     def _handle_other_message(
         self, link: links.Link, message: typing.Any
     ) -> None:
--- a/packages/bambooring/src/bambooring/replication/messages.py
+++ b/packages/bambooring/src/bambooring/replication/messages.py
@@ -62,13 +62,16 @@
     """Introduction of a replica to a peer, on a new link and at intervals.
 
     ``is_fresh`` says that the sender's log has never held an entry.
-    ``your_id`` is the receiver's id as the sender knows it.
+    ``your_id`` is the receiver's id as the sender knows it. ``member_names``
+    are the voters that the sender knows of, so that a new replica finds the
+    leader through any other one.
     """
 
     id: int
     name: str
     is_fresh: bool
     your_id: int
+    member_names: list[str] = dataclasses.field(default_factory=list)
 
 
 @codec.register(SCHEMA, 52)
--- a/packages/bambooring/src/bambooring/replication/replication.capnp
+++ b/packages/bambooring/src/bambooring/replication/replication.capnp
@@ -27,6 +27,7 @@
   name @1 :Text;
   isFresh @2 :Bool;
   yourId @3 :UInt64;
+  memberNames @4 :List(Text);
 }
 
 struct VoteRequest {
--- a/packages/bambooring/src/bambooring/replication/task.py
+++ b/packages/bambooring/src/bambooring/replication/task.py
@@ -134,11 +134,13 @@
         :param peer: the name of the peer
         """
         assert self.group_bootstrap is not None
+        members = self.replica.get_committed_members() if self.replica else {}
         return messages.Greeting(
             id=self.id,
             name=self._name,
             is_fresh=self.replica is not None and self.replica.is_fresh,
             your_id=self.group_bootstrap.latest_ids.get(peer, 0),
+            member_names=sorted(members.values()),
         )
 
     def handle_greeting(self, greeting: messages.Greeting) -> None:
--- a/proofs/replication.py
+++ b/proofs/replication.py
@@ -91,7 +91,7 @@
 
     def __init__(self, world: world_module.World) -> None:
         self.world = world
-        self.nodes = {
+        self.nodes: collections.abc.Mapping[str, Node] = {
             name: Node(name=name, disk=disk_module.MemoryDisk(world.rng))
             for name in REPLICA_NAMES
         }
@@ -194,10 +194,13 @@
         self.world.schedule(
             GREETING_INTERVAL_S, lambda: self.send_greetings(node, generation)
         )
-        for peer in self.nodes.values():
-            if peer is not node:
-                greeting = node.process.make_greeting(peer.name)
-                self.transmit(node, peer, greeting)
+        for peer in self.list_peers(node):
+            greeting = node.process.make_greeting(peer.name)
+            self.transmit(node, peer, greeting)
+
+    def list_peers(self, node: Node) -> list[Node]:
+        """Return the replicas that one greets, by default all others."""
+        return [peer for peer in self.nodes.values() if peer is not node]
 
     def flush(self, node: Node) -> None:
         """Let a replica save, send and apply what is ready, and check it."""
@@ -233,9 +236,9 @@
         """Deliver a message, or lose, delay or repeat it by chance."""
         rng = self.world.rng
         copy_count = 1
+        if (sender.name, receiver.name) in self.cut_directions:
+            return
         if self.is_injecting_faults:
-            if (sender.name, receiver.name) in self.cut_directions:
-                return
             if rng.random() < self.loss_probability:
                 self.world.faults['loss'] += 1
                 return
@@ -276,17 +279,22 @@
             group_bootstrap = node.process.group_bootstrap
             assert group_bootstrap is not None
             known_id = group_bootstrap.latest_ids.get(sender)
+            sending = self.nodes[sender].process
             if known_id not in (None, message.id) and (
-                self.nodes[sender].process is None
-                or self.nodes[sender].process.id != message.id
+                sending is None or sending.id != message.id
             ):
                 return
             node.peer_ids[sender] = message.id
-            node.process.handle_greeting(message)
+            self.handle_greeting(node, message)
         else:
             node.process.step(sender, sender_id, message, self.world.now)
         self.flush(node)
 
+    def handle_greeting(self, node: Node, greeting: messages.Greeting) -> None:
+        """Let a replica handle a greeting."""
+        assert node.process is not None
+        node.process.handle_greeting(greeting)
+
     def propose(self) -> None:
         """Propose a command to a replica that considers itself the leader."""
         self.world.schedule(PROPOSE_INTERVAL_S, self.propose)
@@ -362,7 +370,7 @@
                 node = leader
         pairs = {
             pair
-            for other in REPLICA_NAMES
+            for other in self.nodes
             if other != node.name
             for pair in ((node.name, other), (other, node.name))
         }
@@ -372,7 +380,7 @@
     def inject_one_way_cut(self, node: Node) -> None:
         """Lose the messages from a replica to one of the others."""
         receiver = self.world.rng.choice(
-            [name for name in REPLICA_NAMES if name != node.name]
+            [name for name in self.nodes if name != node.name]
         )
         self.world.record_fault('one_way', f'{node.name} -> {receiver}')
         self.cut_temporarily({(node.name, receiver)})
