Take out lost and leaving voters that the group can spare at once

Cause: a successor became a further voter, and the voter that it replaced stayed one until it had been silent for 10 s; if a second one was silent too, or a new leader began to count anew, it stayed for longer or for good. So the majority grew with each replacement, up to three of six.

Any voter above that which is silent for 1.6 s is taken out, before a learner is taken in; a new leader gives those that didn't vote for it 0.8 s. A replica that is stopped says in its greetings that it leaves and waits until it has been taken out, for 4 s or half of the time that it has to stop at the most; in a group of 2f + 1 it doesn't wait and stays a voter. Why it works: f losses among 2f + 1 voters leave a majority, and a removal of a silent voter never lowers what the group bears.

--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -21,6 +21,7 @@
 from bambooring.policy import messages as policy
 from bambooring.policy import state as policy_state
 from bambooring import replica as replica_module
+from bambooring.replication import const as replication_const
 from bambooring.replication import storage as storage_module
 from bambooring.targets import errors as targets_errors
 from bambooring.targets import messages as targets
@@ -86,6 +87,10 @@
             if settings.may_bootstrap
             else [],
             has_open_membership=True,
+            tolerated_losses=settings.tolerated_losses,
+            leave_timeout_s=min(
+                replication_const.LEAVE_TIMEOUT_S, settings.stop_s / 2
+            ),
             key=settings.link_key,
             disk=disk
             or storage_module.FolderDisk(pathlib.Path(settings.data_folder)),
--- a/packages/bambooring/src/bambooring/gateway/messages.py
+++ b/packages/bambooring/src/bambooring/gateway/messages.py
@@ -28,7 +28,8 @@
     ``link_address``. If a relay forwards that to another address, the process
     listens on that one, ``link_bind_address``. ``seeds`` are the link
     addresses of some control replicas. ``may_bootstrap`` allows the seeds to
-    form the first group of voters.
+    form the first group of voters, ``tolerated_losses`` is how many control
+    replicas may be lost at once.
 
     An entry instance serves callers at ``callers_address`` and readiness
     checks at ``ready_address``. A control replica serves operators and
@@ -48,6 +49,7 @@
     link_address: str
     seeds: list[str]
     may_bootstrap: bool
+    tolerated_losses: int = 1
     link_bind_address: str = ''
     callers_address: str = ''
     ready_address: str = ''
--- a/packages/bambooring/src/bambooring/replica.py
+++ b/packages/bambooring/src/bambooring/replica.py
@@ -53,6 +53,8 @@
         identity: identity_module.Identity,
         voter_names: list[str],
         has_open_membership: bool,
+        tolerated_losses: int = 1,
+        leave_timeout_s: float = replication_const.LEAVE_TIMEOUT_S,
         key: bytes,
         disk: storage_module.Disk,
         get_time: collections.abc.Callable[[], float] = time.time,
@@ -68,6 +70,7 @@
             name=identity.instance,
             voter_names=voter_names,
             has_open_membership=has_open_membership,
+            tolerated_losses=tolerated_losses,
             send=self._send_to_replica,
             add_timestamp=replication_task.make_timestamper(get_time),
             rng=self._random,
@@ -86,6 +89,7 @@
         self._replica_ids_by_name: dict[str, int] = {}
         self._is_flush_scheduled = False
         self._is_stopping = False
+        self._leave_timeout_s = leave_timeout_s
 
     @property
     def is_leader(self) -> bool:
@@ -100,22 +104,38 @@
         )
 
     def leave(self) -> None:
-        """Transfer leadership, then stop; callable from any thread."""
+        """Leave the control group, then stop; callable from any thread."""
         self._reactor.post(self._leave)
 
     def _leave(self) -> None:
         if self._is_stopping:
             return
         self._is_stopping = True
-        replica = self._replicator.replica
         wait_s = 0.0
-        if replica is not None and replica.transfer_leadership():
+        if self._replicator.leave():
             wait_s = replication_const.ELECTION_TIMEOUT_S
+        self._send_greetings()
+        self._schedule_flush()
+        leave_by_s = self._reactor.now() + self._leave_timeout_s
+        self._reactor.call_later(
+            wait_s, functools.partial(self._end_when_left, leave_by_s)
+        )
+
+    def _end_when_left(self, leave_by_s: float) -> None:
+        """End once the control group needs this replica no longer."""
+        has_left = self._replicator.has_left()
+        if not has_left and self._reactor.now() < leave_by_s:
             self._schedule_flush()
-        self._reactor.call_later(wait_s, self._end)
+            self._reactor.call_later(
+                replication_const.LEAVE_POLL_INTERVAL_S,
+                functools.partial(self._end_when_left, leave_by_s),
+            )
+            return
+        LOG.info('control group left', is_removed=has_left)
+        self._end()
 
     def _end(self) -> None:
-        """End the process once leadership had time to be transferred."""
+        """End the process once this replica has left its group."""
         self._reactor.stop()
 
     def _tick(self) -> None:
--- a/packages/bambooring/src/bambooring/replication/const.py
+++ b/packages/bambooring/src/bambooring/replication/const.py
@@ -7,6 +7,10 @@
 # Election deadlines are drawn from one to two times this.
 ELECTION_TIMEOUT_S: typing.Final = 0.8
 GREETING_INTERVAL_S: typing.Final = 0.5
+# How long a voter that ends waits to be taken out of a group that can do
+# without it.
+LEAVE_TIMEOUT_S: typing.Final = 4.0
+LEAVE_POLL_INTERVAL_S: typing.Final = 0.1
 # Time between attempts to load the data folder after a failed write. Another
 # replica's disk may fail next, and only two of three may be missing then.
 RELOAD_INTERVAL_S: typing.Final = 0.25
@@ -22,10 +26,3 @@
 FILE_LOG: typing.Final = 'log'
 FILE_SNAPSHOT: typing.Final = 'snapshot'
 FILE_STATE: typing.Final = 'state'
-
-# With open membership, a voter presumed lost is removed only while the group
-# has more voters than this.
-MIN_VOTERS: typing.Final = 3
-# Longer than a network partition or a restart usually lasts; a voter that
-# comes back later is added again.
-REMOVE_VOTER_AFTER_S: typing.Final = 10.0
--- a/packages/bambooring/src/bambooring/replication/messages.py
+++ b/packages/bambooring/src/bambooring/replication/messages.py
@@ -62,15 +62,17 @@
     """Introduction of a replica to a peer, on a new link and at intervals.
 
     ``is_fresh`` says that the sender's log has never held an entry.
-    ``your_id`` is the receiver's id as the sender knows it. ``member_names``
-    are the voters that the sender knows of, so that a new replica finds the
-    leader through any other one.
+    ``your_id`` is the receiver's id as the sender knows it. ``is_leaving``
+    says that the sender is about to end. ``member_names`` are the voters that
+    the sender knows of, so that a new replica finds the leader through any
+    other one.
     """
 
     id: int
     name: str
     is_fresh: bool
     your_id: int
+    is_leaving: bool = False
     member_names: list[str] = dataclasses.field(default_factory=list)
 
 
--- a/packages/bambooring/src/bambooring/replication/replication.capnp
+++ b/packages/bambooring/src/bambooring/replication/replication.capnp
@@ -28,6 +28,7 @@
   isFresh @2 :Bool;
   yourId @3 :UInt64;
   memberNames @4 :List(Text);
+  isLeaving @5 :Bool;
 }
 
 struct VoteRequest {
--- a/packages/bambooring/src/bambooring/replication/state.py
+++ b/packages/bambooring/src/bambooring/replication/state.py
@@ -23,15 +23,16 @@
 class Replica:
     """Raft state of one replica: its role, term, vote, log and followers.
 
-    With open membership, replicas of any name may become voters, and the
-    leader removes a voter that is lost for long while the group has more
-    voters than it starts with (``MIN_VOTERS``).
+    With open membership, replicas of any name may become voters. While the
+    group has more voters than it needs to bear ``tolerated_losses``, the
+    leader removes those that leave or can't be reached.
 
     ``members`` maps the ids of the voters to their names, by the latest
     list in the log, committed or not. ``leader_id`` is 0 if unknown.
 
     :param voter_names: names of the replicas that may become voters if
         membership is not open
+    :param tolerated_losses: how many voters may be lost at once
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         name: str,
         voter_names: list[str],
         has_open_membership: bool = False,
+        tolerated_losses: int = 1,
         hard_state: messages.HardState,
         snapshot: messages.SnapshotFile | None,
         entries: list[messages.Entry],
@@ -51,6 +53,8 @@
         self.name = name
         self.voter_names = voter_names
         self._has_open_membership = has_open_membership
+        # A majority is left when so many of these are lost.
+        self._min_voters = 2 * tolerated_losses + 1
         self.role = progress_module.Role.FOLLOWER
         self.term = hard_state.term
         self.voted_for = hard_state.voted_for
@@ -70,6 +74,7 @@
         self._next_vote_request_at = 0.0
         self._progress: dict[int, progress_module.Progress] = {}
         self._learners: dict[int, str] = {}
+        self._leaving_ids: set[int] = set()
         self._envelopes: list[progress_module.Envelope] = []
         self._truncate_from = 0
         self._next_batch_start = self.log.last_index + 1
@@ -134,6 +139,7 @@
         :param id: the replica's id
         :param name: the replica's name in the settings
         """
+        self._leaving_ids.discard(id)
         for old_id, old_name in list(self._learners.items()):
             if old_name == name and old_id != id:
                 del self._learners[old_id]
@@ -144,6 +150,26 @@
             if self.is_leader:
                 self._track_follower(id, name)
 
+    def mark_leaving(self, id: int) -> None:
+        """Record that a replica is about to end.
+
+        It is a learner again once it is added anew.
+
+        :param id: the replica's id
+        """
+        self._leaving_ids.add(id)
+        self._learners.pop(id, None)
+
+    @property
+    def is_surplus_voter(self) -> bool:
+        """Whether this is a voter that the group can do without."""
+        members = self.get_committed_members()
+        return (
+            self._has_open_membership
+            and self.id in members
+            and len(members) > self._min_voters
+        )
+
     def propose(self, data: bytes) -> tuple[int, int] | None:
         """Append a command to the log.
 
@@ -282,6 +308,10 @@
         self._progress = {}
         for id, name in (self._learners | self.members).items():
             self._track_follower(id, name)
+        for id, progress in self._progress.items():
+            if id not in self._votes:
+                # It has one election timeout left to reply.
+                progress.last_ack_at -= const.ELECTION_TIMEOUT_S
         self._term_start_index, _ = self._append(messages.EntryKind.NOOP, b'')
         self._next_heartbeat_at = 0.0
 
@@ -664,15 +694,21 @@
     def _change_members(self) -> None:
         """Propose the next membership change, if one is due.
 
-        A learner that has caught up becomes a voter. It replaces an
-        unreachable voter of the same name, which is removed first. Nothing
-        is proposed until the previous change and the first entry of this
-        term are committed.
+        A voter that the group can do without and that leaves or can't be
+        reached is removed first, since each one lost makes the majority of
+        the rest harder to reach. A learner that has caught up becomes a
+        voter. It replaces an unreachable voter of the same name, which is
+        removed first. Nothing is proposed until the previous change and the
+        first entry of this term are committed.
         """
         if self.commit_index < max(
             self._term_start_index, self._members_index
         ):
             return
+        surplus_id = self._find_surplus_voter()
+        if surplus_id is not None:
+            self._remove_member(surplus_id)
+            return
         for id, name in self._learners.items():
             if id in self.members or not self._is_caught_up(id):
                 continue
@@ -687,28 +723,31 @@
             if self._is_unreachable(same_name_ids[0]):
                 self._remove_member(same_name_ids[0])
                 return
-        if self._has_open_membership and len(self.members) > const.MIN_VOTERS:
-            self._remove_lost_voter()
 
     def _remove_member(self, id: int) -> None:
         remaining = dict(self.members)
         del remaining[id]
         self._propose_members(remaining)
 
-    def _remove_lost_voter(self) -> None:
-        """Remove the one voter presumed lost if all others are caught up."""
-        lost_ids = [id for id in self.members if self._is_presumed_lost(id)]
-        remaining_ids = [id for id in self.members if id not in lost_ids]
-        if len(lost_ids) == 1 and all(
-            self._is_caught_up(id) for id in remaining_ids
-        ):
-            self._remove_member(lost_ids[0])
+    def _find_surplus_voter(self) -> int | None:
+        """Return a voter that can be spared and leaves or is unreachable.
 
-    def _is_presumed_lost(self, id: int) -> bool:
-        progress = self._progress.get(id)
-        if id == self.id or progress is None:
-            return False
-        return progress.last_ack_at < self._now - const.REMOVE_VOTER_AFTER_S
+        A voter that was only cut off becomes a learner when it is back, and
+        then a voter again.
+
+        :returns: the voter's id, or None if there is none
+        """
+        if not self._has_open_membership:
+            return None
+        if len(self.members) <= self._min_voters:
+            return None
+        for id in self.members:
+            if id in self._leaving_ids and id != self.id:
+                return id
+        for id in self.members:
+            if self._is_unreachable(id):
+                return id
+        return None
 
     def _is_caught_up(self, id: int) -> bool:
         if id == self.id:
@@ -746,6 +785,7 @@
             (progress.match_index, id)
             for id, progress in self._progress.items()
             if id in self.members
+            and id not in self._leaving_ids
             and progress.last_ack_at > self._now - const.ELECTION_TIMEOUT_S
         ]
         if not self.is_leader or not candidates:
--- a/packages/bambooring/src/bambooring/replication/task.py
+++ b/packages/bambooring/src/bambooring/replication/task.py
@@ -53,6 +53,7 @@
     :param voter_names: names of the first voters, empty if this replica
         may not form a group
     :param has_open_membership: whether replicas of other names may join
+    :param tolerated_losses: how many replicas may be lost at once
     :param send: sends a message to the replica with an id
     :param add_timestamp: puts the leader's time before a command
     :param snapshot_after_entries: number of applied entries after which a
@@ -67,6 +68,7 @@
         name: str,
         voter_names: list[str],
         has_open_membership: bool = False,
+        tolerated_losses: int = 1,
         send: SendCallback,
         add_timestamp: collections.abc.Callable[[bytes], bytes],
         rng: random.Random,
@@ -79,6 +81,8 @@
         self._name = name
         self._voter_names = voter_names
         self._has_open_membership = has_open_membership
+        self._tolerated_losses = tolerated_losses
+        self._is_leaving = False
         self._send = send
         self._add_timestamp = add_timestamp
         self._rng = rng
@@ -99,6 +103,7 @@
             name=self._name,
             voter_names=self._voter_names,
             has_open_membership=self._has_open_membership,
+            tolerated_losses=self._tolerated_losses,
             hard_state=loaded.hard_state,
             snapshot=loaded.snapshot,
             entries=loaded.entries,
@@ -140,6 +145,7 @@
             name=self._name,
             is_fresh=self.replica is not None and self.replica.is_fresh,
             your_id=self.group_bootstrap.latest_ids.get(peer, 0),
+            is_leaving=self._is_leaving,
             member_names=sorted(members.values()),
         )
 
@@ -147,9 +153,37 @@
         """Handle the greeting of a peer."""
         assert self.group_bootstrap is not None
         self.group_bootstrap.add_greeting(greeting)
-        if self.replica is not None:
+        if self.replica is None:
+            return
+        if greeting.is_leaving:
+            self.replica.mark_leaving(greeting.id)
+        else:
             self.replica.add_learner(greeting.id, greeting.name)
 
+    def leave(self) -> bool:
+        """Prepare for the end of this process.
+
+        Hand over the leadership, and tell the others in greetings that this
+        replica leaves.
+
+        :returns: whether another replica was asked to lead
+        """
+        self._is_leaving = True
+        return self.replica is not None and self.replica.transfer_leadership()
+
+    def has_left(self) -> bool:
+        """Return whether the group needs this replica no longer.
+
+        As long as it has more voters than it needs, one that leaves is to be
+        taken out before it ends. A leader that nobody has followed yet asks
+        again for a successor.
+        """
+        if self.replica is None:
+            return True
+        if self.replica.is_leader:
+            self.replica.transfer_leadership()
+        return not self.replica.is_surplus_voter
+
     def step(
         self, sender: str, sender_id: int, message: typing.Any, now: float
     ) -> None:
--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -12,6 +12,7 @@
 
 PROOF_NAMES = (
     'replication',
+    'replacements',
     'configuration',
     'bookings',
     'answers',
--- a/proofs/replacements.py
+++ b/proofs/replacements.py
@@ -109,6 +109,7 @@
             name=node.name,
             voter_names=self.first_seeds if machine.may_bootstrap else [],
             has_open_membership=True,
+            tolerated_losses=self.tolerated_losses,
             send=lambda receiver_id, message: self.send(
                 node, receiver_id, message
             ),
@@ -395,13 +396,14 @@
         """
         assert machine.process is not None
         process = machine.process
+        process.leave()
         deadline_s = self.world.now + STOP_TIMEOUT_S
         self.flush(machine)
 
         def end() -> None:
             if machine.process is process:
                 is_frozen = machine.frozen_until_s > self.world.now
-                has_left = not is_frozen
+                has_left = not is_frozen and process.has_left()
                 if not has_left and self.world.now < deadline_s:
                     self.world.schedule(0.1, end)
                     return
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -16,6 +16,7 @@
 from bambooring.dispatch import state as dispatch_state
 from bambooring.experts import switch
 from bambooring.quarantine import state as quarantine_state
+from bambooring.replication import state as replication_state
 from bambooring.replication import storage
 from bambooring.routing import state as routing_state
 from bambooring_agent.scheduling import state as scheduling_state
@@ -55,6 +56,10 @@
     return storage.Storage(node.disk, lambda: number)
 
 
+def _find_no_voter(self):
+    """Keep each voter, also those that are lost."""
+
+
 def _activate_without_peers(activate):
     """Activate a revision regardless of the revisions that peers hold."""
     return lambda self, held, now: activate(self, [], now)
@@ -107,7 +112,7 @@
 
 
 GUARDS = [
-    ('replication', 4, storage.Storage, 'save_hard_state', _lose_vote),
+    ('replication', 1, storage.Storage, 'save_hard_state', _lose_vote),
     (
         'replication',
         2,
@@ -115,6 +120,13 @@
         'make_storage',
         _reuse_storage_id,
     ),
+    (
+        'replacements',
+        1,
+        replication_state.Replica,
+        '_find_surplus_voter',
+        _find_no_voter,
+    ),
     (
         'configuration',
         1,
