Hand leadership to a follower once it has the whole log

What callers would see: changes and leases fail for up to 7 s while a machine of the core is stopped and another one is lost.

Cause: the leader asked its most up-to-date follower to lead at once, while entries to it were under way. Where that follower needs the old leader's vote (three of four voters there), the old leader refuses it, since its own log is newer, and the next leader, if it is the leaving one again, does the same.

Ruled out: a lost message (the trace has five elections that each ended so), split votes.

Change: as in section 3.10 of Ongaro's thesis. The follower is asked when its log matches; until then, for one election timeout at most, the leader appends nothing. A replica whose disk refuses writes still asks at once.

--- a/packages/bambooring/src/bambooring/replication/state.py
+++ b/packages/bambooring/src/bambooring/replication/state.py
@@ -83,6 +83,10 @@
         self._incoming_snapshot_index = 0
         self._installed_snapshot: messages.SnapshotFile | None = None
         self._term_start_index = 0
+        # The follower that is to lead next, and how long nothing is appended
+        # so that it gets the whole log.
+        self._successor_id = 0
+        self._transfer_until = float('-inf')
         self.members: dict[int, str] = {}
         self._members_index = 0
         self._load_members()
@@ -175,9 +179,9 @@
 
         :param data: the command
         :returns: the index and term of its entry, or None if this replica
-            is not the leader
+            is not the leader or is about to hand over
         """
-        if not self.is_leader:
+        if not self.is_leader or self._is_transferring:
             return None
         return self._append(messages.EntryKind.COMMAND, data)
 
@@ -312,6 +316,7 @@
             if id not in self._votes:
                 # It has one election timeout left to reply.
                 progress.last_ack_at -= const.ELECTION_TIMEOUT_S
+        self._transfer_until = float('-inf')
         self._term_start_index, _ = self._append(messages.EntryKind.NOOP, b'')
         self._next_heartbeat_at = 0.0
 
@@ -503,6 +508,8 @@
         if reply.index > progress.match_index:
             progress.match_index = reply.index
             self._advance_commit()
+            if self._is_transferring and reply.follower == self._successor_id:
+                self._request_takeover()
         progress.next_index = max(progress.next_index, reply.index + 1)
         if progress.next_index <= self.log.last_index:
             self._replicate(reply.follower)
@@ -701,7 +708,7 @@
         removed first. Nothing is proposed until the previous change and the
         first entry of this term are committed.
         """
-        if self.commit_index < max(
+        if self._is_transferring or self.commit_index < max(
             self._term_start_index, self._members_index
         ):
             return
@@ -776,10 +783,15 @@
         data = log_module.encode_members(member_list)
         self._append(messages.EntryKind.MEMBERS, data)
 
-    def transfer_leadership(self) -> bool:
+    def transfer_leadership(self, *, is_urgent: bool = False) -> bool:
         """Ask the most up-to-date follower to take over leadership.
 
-        :returns: True if a voter could be asked
+        It is asked once it has the whole log, since it may need this
+        replica's vote; meanwhile, for one election timeout at most, nothing
+        is appended.
+
+        :param is_urgent: whether to ask it at once, as this replica stops
+        :returns: True if there is a voter to ask
         """
         candidates = [
             (progress.match_index, id)
@@ -790,12 +802,23 @@
         ]
         if not self.is_leader or not candidates:
             return False
-        _, best_id = max(candidates)
-        self._send(
-            best_id, messages.TimeoutNow(term=self.term, leader=self.id)
-        )
+        _, self._successor_id = max(candidates)
+        self._transfer_until = self._now + const.ELECTION_TIMEOUT_S
+        self._request_takeover(is_urgent=is_urgent)
         return True
 
+    @property
+    def _is_transferring(self) -> bool:
+        return self.is_leader and self._now < self._transfer_until
+
+    def _request_takeover(self, *, is_urgent: bool = False) -> None:
+        match_index = self._get_match_index(self._successor_id)
+        if is_urgent or match_index == self.log.last_index:
+            self._send(
+                self._successor_id,
+                messages.TimeoutNow(term=self.term, leader=self.id),
+            )
+
     def take_ready(self) -> progress_module.Ready | None:
         """Hand out what is to be saved, sent and applied now.
 
--- a/packages/bambooring/src/bambooring/replication/task.py
+++ b/packages/bambooring/src/bambooring/replication/task.py
@@ -296,7 +296,7 @@
 
     def _hand_over(self, replica: state_module.Replica) -> None:
         """Let a follower lead; nothing else that is unsaved may be sent."""
-        if not replica.transfer_leadership():
+        if not replica.transfer_leadership(is_urgent=True):
             return
         ready = replica.take_ready()
         assert ready is not None
