Take only a whole answer for a proof that a part is sound

Cause: the first event cleared the request and its parts of all crashes, and a connection that was lost after it wasn't looked into.

Ruled out: late news of crashes (none was recorded), the check of the target (its machine refused connections).

Change: a target that drops a connection is checked whether or not its answer has begun. A whole answer clears; an answer that goes on for 0.5 s clears the parts that were answered whole before, since few streams end whole in a series of crashes; a stream without a length clears nothing by its end.

--- a/packages/bambooring/src/bambooring/crashes/state.py
+++ b/packages/bambooring/src/bambooring/crashes/state.py
@@ -1,11 +1,15 @@
 """Keep what is known of crashes, and decide on requests by it.
 
-What may have crashed a target is what it was about to answer: the parts of
-the prompts of those requests, and each request as a whole. A cause that is
+What may have crashed a target is what it had not answered whole: the parts
+of the prompts of those requests, and each request as a whole. A cause that is
 answered after a crash is cleared of it. What remains is quarantined for a
 time; then one request with it is sent as a probe, so that a sound cause is
 cleared and a deadly one crashes one target more.
 
+That an answer has begun says little of a part that was never answered whole,
+as it may crash its targets a little later. A part that was answered before is
+cleared by an answer that goes on: in a series of crashes few end whole.
+
 All instances keep the same crashes. Their news may be merged repeatedly, late
 and in any order: crashes, and what was cleared of them, only accumulate until
 they expire.
@@ -103,7 +107,7 @@
     def record_answer(
         self, causes: causes_module.Causes, now_s: float
     ) -> messages.CrashNews:
-        """Record that a target began to answer a request.
+        """Record that a target has answered a request whole.
 
         :returns: what it clears, for others to know
         """
@@ -112,8 +116,25 @@
             self._first_answer_s = now_s
         for key in parts:
             self._add_answered_part(key)
+        return self._clear((*parts, causes.request), now_s)
+
+    def record_progress(
+        self, causes: causes_module.Causes, now_s: float
+    ) -> messages.CrashNews:
+        """Record that an answer goes on, some time after it has begun.
+
+        :returns: what it clears, for others to know
+        """
+        answered = [
+            key for key in causes.shared_parts if key in self._answered_parts
+        ]
+        return self._clear(answered, now_s)
+
+    def _clear(
+        self, keys: collections.abc.Iterable[int], now_s: float
+    ) -> messages.CrashNews:
         news = messages.CrashNews()
-        for key in (*parts, causes.request):
+        for key in keys:
             crash_ids = self._crash_ids_by_key.get(key)
             if crash_ids:
                 clearing = messages.Acquittal(
@@ -137,7 +158,7 @@
         is_group: bool,
         now_s: float,
     ) -> messages.CrashNews:
-        """Record that a target crashed before it answered a request.
+        """Record that a target crashed before it answered a request whole.
 
         :param crash_id: the crash
         :param causes: the possible causes in the request
--- a/packages/bambooring/src/bambooring/crashes/task.py
+++ b/packages/bambooring/src/bambooring/crashes/task.py
@@ -74,8 +74,16 @@
             self._send(self._ledger.end_probe(key, now_s))
 
     def record_answer(self, causes: causes_module.Causes) -> None:
-        """Record that a target began to answer a request."""
-        news = self._ledger.record_answer(causes, self._reactor.now())
+        """Record that a target has answered a request whole."""
+        now_s = self._reactor.now()
+        self._tell_cleared(self._ledger.record_answer(causes, now_s))
+
+    def record_progress(self, causes: causes_module.Causes) -> None:
+        """Record that an answer goes on, some time after it has begun."""
+        now_s = self._reactor.now()
+        self._tell_cleared(self._ledger.record_progress(causes, now_s))
+
+    def _tell_cleared(self, news: messages.CrashNews) -> None:
         for clearing in news.acquittals:
             LOG.info(
                 'suspect acquitted',
@@ -92,7 +100,7 @@
         request_id: str,
         callback: collections.abc.Callable[[], None],
     ) -> None:
-        """Find out whether a target crashed before it answered a request.
+        """Find out whether a target crashed within a request.
 
         :param target: the target, which has dropped the request's connection
         :param causes: the possible causes in the request
--- a/packages/bambooring/src/bambooring/crashes/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_state.py
@@ -49,6 +49,12 @@
         ledger = self.ledgers[at]
         self.tell(ledger, ledger.record_answer(make_causes(parts), self.now_s))
 
+    def progress(self, parts, *, at=0):
+        """Let an answer go on for some time."""
+        ledger = self.ledgers[at]
+        causes = make_causes(parts)
+        self.tell(ledger, ledger.record_progress(causes, self.now_s))
+
     def crash(self, *requests, at=0, crash_id=None, is_group=True):
         """Let a target crash with requests of one instance on board."""
         ledger = self.ledgers[at]
@@ -170,6 +176,25 @@
         assert fleet.decide('system other') is state.Status.CLEAR
 
 
+# A first event was taken for a proof that a new part is sound.
+def test_answer_that_goes_on_does_not_clear_a_new_part(fleet):
+    """Only one that is answered whole does."""
+    fleet.crash('system deadly one')
+    fleet.progress('system deadly two')
+    assert fleet.decide('system deadly three') is state.Status.QUARANTINED
+    fleet.answer('system deadly two')
+    assert fleet.decide('system deadly three') is state.Status.CLEAR
+
+
+def test_answers_that_go_on_between_crashes_clear_answered_parts(fleet):
+    """In a series of crashes hardly any stream ends whole."""
+    for number in range(10):
+        fleet.crash(f'system {number}')
+        fleet.now_s += 6.0
+        fleet.progress(f'system again{number}')
+        assert fleet.decide('system other') is state.Status.CLEAR
+
+
 def test_answered_part_that_has_become_deadly_is_quarantined(fleet):
     """After three outages without a single answer in between."""
     for number in range(2):
--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -88,6 +88,8 @@
         self.began_s = reactor.now()
         # Whether the target has begun to answer: of a stream, its first event.
         self.has_begun = False
+        # Whether a stream has gone on for some time since.
+        self.has_progress = False
         self.response: messages.TargetResponse | None = None
         # Whether the end of the response shows without the connection's.
         self.has_length = True
--- a/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
@@ -15,16 +15,17 @@
 class AttemptStream:
     """The stream of one attempt, from its head on.
 
-    Its buffer and its timer end with the attempt. ``handle_first_event`` is
-    called before the first event is passed on, ``handle_stall`` each time that
-    the stream is found to be stalled.
+    Its buffer and its timer end with the attempt. ``handle_event`` is called
+    before events are passed on, with the time since the first one in seconds,
+    ``handle_stall`` each time that the stream is found to be stalled.
     """
 
     __slots__ = (
         '_attempt',
         '_caller',
         '_forwarder',
-        '_handle_first_event',
+        '_first_event_s',
+        '_handle_event',
         '_handle_stall',
         '_last_event_s',
         '_reader',
@@ -41,7 +42,7 @@
         caller: caller_module.CallerResponse,
         route: policy.Route,
         service: str,
-        handle_first_event: collections.abc.Callable[[], None],
+        handle_event: collections.abc.Callable[[float], None],
         handle_stall: collections.abc.Callable[[], None],
     ) -> None:
         self._attempt = attempt
@@ -49,11 +50,12 @@
         self._caller = caller
         self._route = route
         self._service = service
-        self._handle_first_event = handle_first_event
+        self._handle_event = handle_event
         self._handle_stall = handle_stall
         self._reader = events.EventReader(
             caller.delivered_events, forwarder.event_format
         )
+        self._first_event_s = 0.0
         self._last_event_s: float | None = None
         self._stall_watch: stalls.StallWatch | None = None
 
@@ -89,8 +91,8 @@
     def _send(self, complete_events: bytes) -> None:
         now_s = self._forwarder.reactor.now()
         if self._last_event_s is None:
+            self._first_event_s = now_s
             self._forwarder.record_prompt_read(self._attempt)
-            self._handle_first_event()
         else:
             self._forwarder.balancer.record_event_gap(
                 self._service,
@@ -98,6 +100,7 @@
                 self._route.max_event_gap_s,
             )
         self._last_event_s = now_s
+        self._handle_event(now_s - self._first_event_s)
         self._forwarder.event_log.record(
             self._service, self._attempt.target.id, now_s
         )
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -53,6 +53,10 @@
 # request can be retried at another target if the response breaks off.
 MAX_BUFFERED_BODY_BYTES: typing.Final = 128 * 1024
 
+# A stream that goes on for this long after its first event clears those parts
+# of its prompt that were answered before.
+STREAM_PROGRESS_S: typing.Final = 0.5
+
 # The parts of a prompt that a log line lists.
 MAX_LOGGED_PARTS: typing.Final = 8
 
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -206,7 +206,7 @@
             caller=self._caller,
             route=self.route,
             service=self.service,
-            handle_first_event=lambda: self._record_answer(attempt),
+            handle_event=lambda age_s: self._record_event(attempt, age_s),
             handle_stall=self._resume_elsewhere,
         )
 
@@ -241,10 +241,18 @@
             attempt.abort()
             self.handle_failure(attempt, 'stream_gap')
 
-    def _record_answer(self, attempt: attempt_module.Attempt) -> None:
-        if not attempt.has_begun:
-            attempt.has_begun = True
-            self.suspicion.record_answer()
+    def _record_event(
+        self, attempt: attempt_module.Attempt, age_s: float
+    ) -> None:
+        """Record an event of a stream.
+
+        :param attempt: the attempt that receives it
+        :param age_s: the time since the stream's first event
+        """
+        attempt.has_begun = True
+        if age_s >= const.STREAM_PROGRESS_S and not attempt.has_progress:
+            attempt.has_progress = True
+            self.suspicion.record_progress()
 
     def _resume_elsewhere(self) -> None:
         """Continue a stalled stream at another target, if one is free."""
@@ -266,8 +274,9 @@
         """Forward a complete response, or retry a request that failed."""
         response = attempt.response
         assert response is not None
-        if not self.is_stream:
-            self._record_answer(attempt)
+        attempt.has_begun = True
+        if self._is_proved_whole(attempt):
+            self.suspicion.record_answer()
         if self._should_retry_failure(attempt, response):
             self.progress.may_have_run = True
             self._failed_attempt = attempt
@@ -295,6 +304,16 @@
         self._complete_response(attempt, response)
         self._finish('answered', response.status)
 
+    def _is_proved_whole(self, attempt: attempt_module.Attempt) -> bool:
+        """Return whether a target has answered whole, for all that is known.
+
+        Of a stream, an error in its place says nothing, and one without a
+        length ends in the same way if its target crashes.
+        """
+        if attempt.stream is None:
+            return not self.is_stream
+        return attempt.has_length and not attempt.stream.has_broken_off
+
     def _should_retry_failure(
         self,
         attempt: attempt_module.Attempt,
@@ -369,15 +388,13 @@
     def _may_be_crash(
         self, attempt: attempt_module.Attempt, failure: str
     ) -> bool:
-        """Return whether the target may have crashed before it answered.
+        """Return whether the target may have crashed before its answer's end.
 
         A target that is leaving ends without having crashed.
         """
-        return (
-            suspicions.may_be_crash(failure)
-            and not attempt.has_begun
-            and self._forwarder.balancer.has_target(attempt.target)
-        )
+        return suspicions.may_be_crash(
+            failure
+        ) and self._forwarder.balancer.has_target(attempt.target)
 
     def _retry_after_failure(self) -> None:
         self._retry_or_give_up(const.Reason.TARGET_FAILED)
--- a/packages/bambooring/src/bambooring/forwarding/suspicions.py
+++ b/packages/bambooring/src/bambooring/forwarding/suspicions.py
@@ -80,15 +80,19 @@
         return AttemptProbe(self._guard, decision.key, until_s)
 
     def record_answer(self) -> None:
-        """Record that a target began to answer."""
+        """Record that a target has answered whole."""
         self._guard.record_answer(self._causes)
 
+    def record_progress(self) -> None:
+        """Record that an answer goes on, some time after it has begun."""
+        self._guard.record_progress(self._causes)
+
     def check_target(
         self,
         target: targets.Target,
         callback: collections.abc.Callable[[], None],
     ) -> None:
-        """Find out whether the target crashed before it answered.
+        """Find out whether the target crashed before it answered whole.
 
         :param target: the target
         :param callback: is called with the result known
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -159,6 +159,8 @@
         self._get_time_s = get_time_s
         self.runs = []
         self.disconnects = 0
+        # Of a target that crashes within an answer: after how many events.
+        self.event_count = 1
         self.stop = None
 
     def handle(self, exchange):
@@ -377,6 +379,18 @@
     target.stop()
 
 
+def crash_within_answer(target, exchange):
+    """End the target once it has begun to answer a certain part."""
+    if b'deadly' not in exchange.request.get(b'parts').split():
+        send_stream(target, exchange)
+        return
+    target.record_run(exchange)
+    last = int(exchange.request.get(b'last'))
+    exchange.start(200, make_headers(exchange, (b'Stream', b'1')))
+    exchange.write(make_events(last + 1, last + target.event_count))
+    target.stop()
+
+
 def hang(target, exchange):
     """Run a request and never respond."""
     target.record_run(exchange)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_crashes.py
@@ -62,6 +62,62 @@
         assert (status, runs) == (b'200', 1)
 
 
+# A part that crashed each target after its first event was taken for sound
+# with that event, and was sent to target after target.
+@pytest.mark.parametrize('event_count', [1, 5])
+def test_part_that_crashes_targets_within_their_answer_is_held_back(
+    make_harness, event_count
+):
+    """No request with it reaches a target until a probe is due."""
+    harness = make_harness(6, harness_module.crash_within_answer)
+    for target in harness.targets:
+        target.event_count = event_count
+    assert _ask(harness, b'/talk/1', parts=SOUND)[:2] == (b'200', 1)
+    for number in range(5):
+        _ask(
+            harness,
+            b'/talk/%d' % number,
+            parts=b'system deadly own%d' % number,
+            body=b'%d' % number,
+        )
+    assert harness.run_count == 2
+    for number in range(3):
+        status, runs, _ = _ask(harness, b'/talk/1', parts=SOUND)
+        assert (status, runs) == (b'200', 1)
+
+
+def test_request_that_crashes_targets_within_their_answer_is_held_back(
+    make_harness,
+):
+    """It has no part in common with others, but comes again and again."""
+    harness = make_harness(6, harness_module.crash_within_answer)
+    assert _ask(harness, b'/talk/1', parts=SOUND)[:2] == (b'200', 1)
+    for number in range(4):
+        _ask(harness, b'/talk/1', parts=b'deadly', attempt_id=b'%d' % number)
+    assert harness.run_count == 3
+
+
+def test_cut_stream_makes_no_part_suspect(make_harness):
+    """Its target still accepts connections, so it hasn't crashed."""
+    harness = make_harness(2, harness_module.cut_stream)
+    sock = harness.send_request(b'/talk/1', parts=b'system new own')
+    harness.turn_until(lambda: harness.run_count == 1)
+    for target in harness.targets:
+        target.script = harness_module.send_stream
+        if target.runs:
+            target.cut_exchange.abort()
+    data, _ = harness.read_response(sock)
+    assert data.startswith(b'HTTP/1.1 200')
+    assert is_whole(data)
+    assert _ask(harness, b'/talk/2', parts=b'system new two')[0] == b'200'
+    assert not any(news.crashes for news in harness.crash_news)
+
+
+def is_whole(data):
+    """Return whether a stream has all its events."""
+    return data.endswith(b'0\r\n\r\n') and b'id: 9\n' in data
+
+
 # A request without parts that came again and again crashed a target each time.
 def test_request_that_crashed_two_targets_is_not_sent_again(make_harness):
     """The same path, caller and body are known again, whatever the id."""
