Check in the soak that changed routes are in force and invalid ones refused

Users saw changes of the configuration that weren't in force in time, came back older, were taken though invalid, or routes that were added and not served. The soak published whole policies and rotated keys; it changed no routes, sent nothing invalid, had one operator and no request that could show which policy an instance used.

Now two operators share a draft. They add, move and drop routes, 60 at once at times and several in quick succession, send policies again and send eight kinds of invalid ones; they go on through the recovery. A caller sends requests on these routes to all instances. Checked: what no policy allows; a confirmed policy that isn't in force 2 s later (3 s after the last fault); a process that uses an older one than it had used; added routes that are served less than a quarter as often as others; an invalid policy that is confirmed. The check of the recovery leaves out requests on changing routes, which are refused rightly once dropped.

The test of rotated keys looks into the draft now; it asserts the same of the same two keys.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,8 @@
 from soak import faults as faults_module
 from soak import history as history_module
 from soak import operator as operator_module
+from soak import route_checks
+from soak import routes as routes_module
 
 DEFAULT_DURATION_S = 15.0
 # After the repair of all faults, requests must be served again in this time.
@@ -45,16 +47,27 @@
     """
     with cluster_module.Cluster(folder, seed, **sizes) as cluster:
         injector = faults_module.FaultInjector(cluster, random.Random(seed))
-        operator = operator_module.Operator(cluster, random.Random(seed + 1))
-        with operator:
+        draft = operator_module.Draft()
+        operator = operator_module.Operator(
+            cluster, random.Random(seed + 1), draft
+        )
+        second_operator = operator_module.Operator(
+            cluster, random.Random(seed + 2), draft, is_second=True
+        )
+        with (
+            operator,
+            second_operator,
+            routes_module.RouteCaller(cluster, random.Random(seed + 3)),
+        ):
             cluster.wait_ready()
             cluster.start_callers()
             time.sleep(_STEADY_S)
             injector.run(duration_s)
-        violations = _wait_for_recovery(cluster)
+            violations = _wait_for_recovery(cluster)
         operator.read_until_answered()
         cluster.stop_callers()
         violations += list(cluster.history.check())
+        violations += list(route_checks.check(cluster.history))
         requests = cluster.history.list_requests()
         served = sum(request.status == 200 for request in requests)
     (folder / 'story').write_text('\n'.join(injector.fault_log) + '\n')
@@ -90,14 +103,17 @@
 ) -> list[str]:
     """Check that most requests that were sent after ``start_s`` are served.
 
-    Callers may keep sending requests during the check.
+    Callers may keep sending requests during the check. Requests on changing
+    routes may be refused rightly, so they don't count.
 
     :returns: one line if too few are served, else an empty list
     """
     recent = [
         request
         for request in history.list_requests()
-        if request.sent_s > start_s and request.ended_s
+        if request.sent_s > start_s
+        and request.ended_s
+        and request.kind != history_module.ROUTE_KIND
     ]
     served = sum(request.status == 200 for request in recent)
     if served >= _MIN_SERVED_RATIO * len(recent) and recent:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -80,6 +80,8 @@
         self.folder = folder
         self.rng = random.Random(seed)
         self.history = history_module.History()
+        # The changing routes of all policies, in the order of their addition.
+        self.route_names: list[str] = []
         self.api_keys = callers_module.ApiKeys({'k-1': 't-1', 'k-2': 't-2'})
         # Each run uses a loopback network of its own.
         self._network_prefix = f'127.{10 + os.getpid() % 200}.{seed % 50}'
@@ -326,18 +328,27 @@
             except subprocess.TimeoutExpired:
                 self.kill(process)
 
+    def list_entries(self) -> list[Process]:
+        """Return the processes of the entry instances."""
+        return [
+            process
+            for process in self.processes.values()
+            if process.role == 'edge'
+        ]
+
+    def get_callers_address(self, process: Process) -> str:
+        """Return the address at which callers reach an entry instance."""
+        host = self._make_address(_ANNOUNCED, process.host_number)
+        return f'{host}:{CALLERS_PORT}'
+
     def start_callers(self) -> None:
         """Start the callers."""
         entry_addresses = [
             callers_module.EntryAddress(
                 entry=process.name,
-                address=(
-                    f'{self._make_address(_ANNOUNCED, process.host_number)}'
-                    f':{CALLERS_PORT}'
-                ),
+                address=self.get_callers_address(process),
             )
-            for process in self.processes.values()
-            if process.role == 'edge'
+            for process in self.list_entries()
         ]
         for _ in range(self._caller_count):
             self._caller_stack.enter_context(
@@ -389,28 +400,33 @@
 
 
 def make_policy_document(
-    version: int, accounts_by_key: dict[str, str]
+    version: int,
+    accounts_by_key: dict[str, str],
+    services_by_route: dict[str, str] | None = None,
 ) -> bytes:
     """Return a policy as a JSON document.
 
     :param version: the version of the policy
     :param accounts_by_key: the client account of each API key
+    :param services_by_route: the services of the changing routes
     """
     keys_by_account: dict[str, list[str]] = {'t-1': [], 't-2': []}
     for api_key, account in sorted(accounts_by_key.items()):
-        keys_by_account[account].append(api_key)
+        keys_by_account.setdefault(account, []).append(api_key)
     routes = {
         'book': ('non_idempotent', 'app'),
         'read': ('idempotent', 'app'),
         'stream': ('streaming', 'llm'),
     }
+    for route_name, service in (services_by_route or {}).items():
+        routes[route_name] = ('idempotent', service)
     policy = {
         'version': version,
         'routes': [
             {
                 'name': route_name,
                 'hostname': callers_module.HOSTNAME,
-                'pathPrefix': callers_module.PATH_PREFIXES[route_name],
+                'pathPrefix': f'/{route_name}/',
                 'routeType': route_type,
                 'timeoutMs': int(callers_module.REQUEST_TIMEOUT_S * 1000),
                 'targetLatencyMs': 300,
--- a/soak/history.py
+++ b/soak/history.py
@@ -18,6 +18,8 @@
 UNDISTURBED_S = 3.0
 # Statuses that guarantee that the request was not and never will be executed.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+# The kind of requests on routes that operators add, move and drop.
+ROUTE_KIND = 'route'
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -29,7 +31,8 @@
     ``failure`` is empty or one of ``no_connection`` (connecting failed),
     ``silent`` (timed out), ``unread`` (a reused connection was closed without
     a response; the request may never have been read) and ``lost`` (the
-    connection failed in any other way).
+    connection failed in any other way). A request on a changing route has its
+    ``route`` and the ``process_id`` of the instance.
     """
 
     attempt_id: str
@@ -45,6 +48,8 @@
     signature: str = ''
     is_complete: bool = False
     failure: str = ''
+    route: str = ''
+    process_id: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -69,10 +74,13 @@
     """A policy version that an operator sent.
 
     ``confirmed_s`` is None until a control replica has confirmed it.
+    ``routes`` are the services of its changing routes, by route.
     """
 
     version: int
     content: str
+    sent_s: float = 0.0
+    routes: dict[str, str] = dataclasses.field(default_factory=dict)
     confirmed_s: float | None = None
 
 
@@ -167,7 +175,11 @@
             yield f'wrong account: {execution.attempt_id} {execution.account}'
         if execution.body != request.body:
             yield f'body changed: {execution.attempt_id}'
-        if execution.service != ('llm' if request.kind == 'stream' else 'app'):
+        expected_service = 'llm' if request.kind == 'stream' else 'app'
+        if (
+            request.kind != ROUTE_KIND
+            and execution.service != expected_service
+        ):
             yield f'wrong service: {execution.attempt_id} {execution.service}'
         revoked_s = self.revoked_s.get(request.api_key)
         if (
@@ -220,9 +232,7 @@
         the idle connection, but not if it was forwarded to a target.
         """
         for stop in self.planned_stops:
-            if self._is_disturbed(
-                stop.started_s - UNDISTURBED_S, stop.ended_s
-            ):
+            if self.is_disturbed(stop.started_s - UNDISTURBED_S, stop.ended_s):
                 continue
             for request in requests:
                 if (
@@ -239,7 +249,7 @@
                 if was_received and request.failure != 'silent':
                     yield f'interrupted by a planned stop: {request}'
 
-    def _is_disturbed(self, from_s: float, to_s: float) -> bool:
+    def is_disturbed(self, from_s: float, to_s: float) -> bool:
         return any(
             started_s < to_s and ended_s > from_s
             for started_s, ended_s in self.disturbed_periods
@@ -254,7 +264,7 @@
     if (
         request.status in NOT_EXECUTED_STATUSES
         and executions
-        and request.kind != 'read'
+        and request.kind not in ('read', ROUTE_KIND)
     ):
         yield (
             f'refused with {request.status}, but executed:'
@@ -262,7 +272,13 @@
         )
     if request.status != 200 or not request.is_complete:
         return
-    if request.kind == 'stream':
+    if request.kind == ROUTE_KIND and request.signature in {
+        execution.target
+        for execution in executions
+        if execution.service == 'llm'
+    }:
+        expected = {make_stream(request.attempt_id)}
+    elif request.kind == 'stream':
         expected = {make_stream(request.attempt_id)}
     else:
         expected = {execution.response_body for execution in executions}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,8 @@
 from soak import history as history_module
 from soak import operator as operator_module
 from soak import relay as relay_module
+from soak import route_checks
+from soak import routes as routes_module
 
 SHORT_DURATION_S = 6.0
 
@@ -399,10 +401,80 @@
     monkeypatch.setattr(operator_module.time, 'sleep', lambda seconds: None)
     for version in range(1, 6):
         operator = operator_module.Operator(cluster, random.Random(version))
-        operator._version = version
-        before = dict(operator._accounts_by_key)
-        monkeypatch.setattr(operator, '_publish_policy', lambda deadline_s: 1)
+        draft = operator._draft
+        draft.version = version
+        before = dict(draft.accounts_by_key)
+        monkeypatch.setattr(
+            operator, '_publish_policy', lambda policy, deadline_s: True
+        )
         operator._rotate_key()
-        (kept,) = before.keys() & operator._accounts_by_key.keys()
-        assert operator._accounts_by_key[kept] == before[kept]
-        assert len(operator._accounts_by_key) == 2
+        kept = before.keys() & draft.accounts_by_key.keys()
+        assert routes_module.API_KEY in kept
+        assert len(kept) == 2
+        assert all(draft.accounts_by_key[key] == before[key] for key in kept)
+        assert len(draft.accounts_by_key) == 3
+
+
+def _check_routes(*requests, policies, disturbed_periods=()):
+    """Return the violations of requests on changing routes.
+
+    :param requests: for each, when it was sent and its outcome: a service, or
+        an empty text if the route is unknown
+    :param policies: for each, when it was confirmed and the route's service
+    """
+    history = history_module.History()
+    history.disturbed_periods = list(disturbed_periods)
+    for version, (confirmed_s, service) in enumerate(policies, start=1):
+        history.published_policies[version] = history_module.PublishedPolicy(
+            version=version,
+            content='',
+            sent_s=confirmed_s - 0.1,
+            routes={'route-0': service} if service else {},
+            confirmed_s=confirmed_s,
+        )
+    for service in ('app', 'llm'):
+        history.add_execution(_make_execution(target=service, service=service))
+    for number, (sent_s, outcome) in enumerate(requests):
+        history.add_request(
+            _make_request(
+                attempt_id=f'r-{number}',
+                kind=history_module.ROUTE_KIND,
+                route='route-0',
+                sent_s=sent_s,
+                ended_s=sent_s + 0.1,
+                status=200 if outcome else 404,
+                signature=outcome,
+                process_id=1,
+            )
+        )
+    return list(route_checks.check(history))
+
+
+@pytest.mark.parametrize(
+    ('requests', 'policies', 'expected_text'),
+    [
+        ([(13.0, '')], [(10.0, 'app')], 'no policy allows'),
+        ([(13.0, '')], [(5.0, ''), (10.0, 'app')], 'not in force in time'),
+        ([(13.0, 'app')], [(5.0, 'app'), (10.0, '')], 'not in force in time'),
+        ([(13.0, 'app')], [(5.0, 'app'), (10.0, 'llm')], 'not in force'),
+        (
+            [(10.5, 'llm'), (13.0, 'app')],
+            [(5.0, 'app'), (10.0, 'llm')],
+            'older than policy 2',
+        ),
+    ],
+)
+def test_stale_routes_are_reported(requests, policies, expected_text):
+    """A route that is missing, dropped or moved is handled as before."""
+    violations = _check_routes(*requests, policies=policies)
+    assert any(expected_text in line for line in violations)
+
+
+def test_current_routes_are_no_violation():
+    """Either policy may be in force until the newer one has to be."""
+    policies = [(5.0, 'app'), (10.0, 'llm')]
+    assert not _check_routes((11.0, 'app'), (13.0, 'llm'), policies=policies)
+    late = _check_routes(
+        (13.0, 'app'), policies=policies, disturbed_periods=[(9.0, 9.5)]
+    )
+    assert not late
