Search plain answers of any size for a second one

Cause: the search ran over the buffered body, and a body of more than 128 KiB is passed on in parts, so nothing was left to search.

Ruled out: answers of other requests (each has a connection of its own), the framing.

Change: each part is searched as it passes.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -94,6 +94,9 @@
         # Whether the end of the response shows without the connection's.
         self.has_length = True
         self.buffered_body = bytearray()
+        self._scanner = second_answers.BodyScanner(
+            request.attempt_id, listener.read_response_head
+        )
         # What passes the response on, if it is a stream of events.
         self.stream: attempt_stream.AttemptStream | None = None
         # The tokens of the prompt until the target has read them.
@@ -218,6 +221,16 @@
         """
         if self.is_over:
             return
+        if self.stream is not None:
+            self._listener.forward_data(self, data)
+            return
+        data = self._scanner.feed(data)
+        if self._scanner.has_found:
+            self._fail('second_answer')
+            return
+        self._pass_on(data)
+
+    def _pass_on(self, data: bytes) -> None:
         if self.is_forwarding:
             self._listener.forward_data(self, data)
             return
@@ -233,20 +246,17 @@
         """Report that the response is complete."""
         if self.is_over:
             return
-        if self._has_second_answer():
-            self._fail('second_answer')
-            return
+        if self.stream is None:
+            rest = self._scanner.finish(self.call.surplus)
+            if self._scanner.has_found:
+                self._fail('second_answer')
+                return
+            self._pass_on(rest)
+            if self.is_over:
+                return
         self.is_over = True
         self._listener.handle_completion(self)
 
-    def _has_second_answer(self) -> bool:
-        return second_answers.has_second_answer(
-            bytes(self.buffered_body),
-            self.call.surplus,
-            self._request.attempt_id,
-            self._listener.read_response_head,
-        )
-
     def handle_call_failure(self, failure: http1_errors.Failure) -> None:
         """Report that no complete response will come."""
         self._fail(failure.value)
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -585,6 +585,28 @@
         sock.close()
         return bytes(data), bool(resets)
 
+    def read_to_end(self, sock):
+        """Return what comes until the connection ends, and if it was reset."""
+        data = bytearray()
+        resets = []
+
+        def receive():
+            try:
+                received = sock.recv(65536)
+            except BlockingIOError:
+                return False
+            except ConnectionResetError:
+                resets.append('reset')
+                return True
+            data.extend(received)
+            return not received or (
+                not self.forwarder.pending_count and is_complete(bytes(data))
+            )
+
+        self.turn_until(receive)
+        sock.close()
+        return bytes(data), bool(resets)
+
     @property
     def run_count(self):
         """Return how often the request ran, over all targets."""
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -253,6 +253,23 @@
     assert (status, body) == (b'502', b'target_failed\n')
 
 
+# From 128 KiB on, callers got a second answer as a part of the first one.
+@pytest.mark.parametrize('framing', ['none', 'length'])
+@pytest.mark.parametrize('size', [100_000, 200_000, 400_000])
+def test_large_answer_with_a_second_one_never_looks_complete(
+    make_harness, framing, size
+):
+    """One without a length goes on with it, one with a length is cut."""
+    whole = raw.frame([b'x' * size], framing)
+    first = whole if framing == 'none' else whole[: -size // 4]
+    harness = make_harness(raw.RawTarget(first + whole))
+    data, is_reset = harness.read_to_end(harness.send_request(b'/book/1'))
+    head, _, body = data.partition(b'\r\n\r\n')
+    if head.startswith(b'HTTP/1.1 200'):
+        assert is_reset or not harness_module.is_complete(data)
+    assert b'HTTP/1.1' not in body
+
+
 def test_body_may_quote_the_head_of_another_answer(make_harness):
     """Only an answer to the same request is a second one."""
     quote = BODY + b'HTTP/1.1 200 X\r\nId: 8\r\n\r\nHTTP/1.0 HTTP/1.'
