Serve routes whose path prefix doesn't end in a slash

What callers would see: a route is added with such a prefix, the change is confirmed, and each request on the route gets 404 (CONFIG, a route that was added is not served).

Cause: the lookup tried only those beginnings of a path that end in a slash.

Ruled out: nothing that users sent is known to have such a prefix; found by reading, while the report of routes that weren't served was looked into.

Change: a prefix matches whole segments with or without its slash.

Before and after: test_prefix_without_a_slash_matches_whole_segments failed and passes, with the comparison with a linear search.

--- a/packages/bambooring/src/bambooring/policy/state.py
+++ b/packages/bambooring/src/bambooring/policy/state.py
@@ -100,6 +100,8 @@
     def find_route(self, host: str, path: str) -> messages.Route | None:
         """Return the route with the longest matching path prefix, or None.
 
+        A prefix matches whole segments, whether or not it ends in a slash.
+
         :param host: the host in lower case without a port
         :param path: the path without the query
         """
@@ -107,10 +109,12 @@
         if routes is None:
             return None
         end = len(path)
+        if path in routes:
+            return routes[path]
         while (end := path.rfind('/', 0, end)) >= 0:
-            route = routes.get(path[: end + 1])
-            if route is not None:
-                return route
+            for prefix in (path[: end + 1], path[:end]):
+                if prefix in routes:
+                    return routes[prefix]
         return None
 
     def find_account(self, key: str) -> messages.Account | None:
--- a/packages/bambooring/src/bambooring/policy/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/policy/tests/test_state.py
@@ -83,6 +83,19 @@
     assert table.find_route('unknown', '/a/') is None
 
 
+# A route whose prefix doesn't end in a slash was accepted and never served.
+def test_prefix_without_a_slash_matches_whole_segments():
+    """It has the path itself and all below it, but none that goes on."""
+    table = make_table(_make_route('/a'), _make_route('/a/b'))
+    assert table.find_route('h', '/a').path_prefix == '/a'
+    assert table.find_route('h', '/a/').path_prefix == '/a'
+    assert table.find_route('h', '/a/c/d').path_prefix == '/a'
+    assert table.find_route('h', '/a/b').path_prefix == '/a/b'
+    assert table.find_route('h', '/a/b/c').path_prefix == '/a/b'
+    assert table.find_route('h', '/ab') is None
+    assert table.find_route('h', '/') is None
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.text('ab/', max_size=6).map(lambda text: f'/{text}/'),
