Heed a leaving whatever number another writer has used

Cause: an odd entry under the target's own id and start had a huge number, so the target's own announcements were stale, its leaving as well.

Ruled out: entry instances that were told late; they were told nothing.

Change: within a run, a leaving counts over a ready announcement whatever the numbers are, since no run that leaves is ready again.

--- a/packages/bambooring/src/bambooring/targets/state.py
+++ b/packages/bambooring/src/bambooring/targets/state.py
@@ -349,7 +349,9 @@
     """Return whether an announcement is newer than the known one.
 
     The end of a run is final: a heartbeat of the same run that arrives after
-    it was sent before it.
+    it was sent before it. No run that leaves was leaving and is ready again,
+    so its leaving counts whatever its number is; the higher number of a
+    ready one is another writer's.
     """
     if target.born_ms != known.born_ms:
         return target.born_ms > known.born_ms
@@ -357,6 +359,11 @@
         return False
     if target.state is messages.State.GONE:
         return True
+    if (known.state, target.state) == (
+        messages.State.READY,
+        messages.State.DRAINING,
+    ):
+        return True
     return target.sequence > known.sequence
 
 
--- a/packages/bambooring/src/bambooring/targets/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/targets/tests/test_state.py
@@ -324,6 +324,32 @@
     assert registry.find_rank('g', 0) is None
 
 
+# A leaving that was confirmed had no effect, because an odd entry under the
+# run's id and start had a higher number: requests came for seconds.
+def test_leaving_is_heeded_whatever_was_announced_before():
+    """No run is ready again once it leaves, so its number doesn't matter."""
+    registry = state.Registry(HEARTBEAT_S)
+    registry.apply_announcement(_make_target(), 0)
+    registry.apply_announcement(_make_target(sequence=10**6), 0.5)
+    leaving = _make_target(sequence=2, state=messages.State.DRAINING)
+    result = registry.apply_announcement(leaving, 1)
+    assert result is state.AnnouncementResult.CHANGED
+    assert not _list_usable_ids(registry)
+    late = _make_target(sequence=1)
+    result = registry.apply_announcement(late, 2)
+    assert result is state.AnnouncementResult.STALE
+
+
+def test_odd_leaving_ends_with_the_next_announcement():
+    """A run that was said to leave by another writer goes on."""
+    registry = state.Registry(HEARTBEAT_S)
+    registry.apply_announcement(_make_target(sequence=7), 0)
+    odd = _make_target(sequence=1, state=messages.State.DRAINING)
+    registry.apply_announcement(odd, 0.5)
+    registry.apply_announcement(_make_target(sequence=8), 1)
+    assert _list_usable_ids(registry) == ['i-1']
+
+
 # One entry of another writer kept a sound target unused for two minutes.
 def test_target_outlives_a_high_sequence_number():
     """An odd entry under a run's id and start doesn't silence the run."""
