Ask the target of a stream without a length if it still runs

Cause: such a stream ends in the same way whether it is whole or its target has crashed, and it was taken for whole.

Change: before the end of such a stream is passed on, the target is asked as after a lost connection. If its machine refuses, the stream has broken off. With this a stream that is whole clears its parts, whatever its framing.

Before and after: three new cases of test_cut_answers.py failed and pass. What it costs: one connection for each stream without a length.

--- a/packages/bambooring/src/bambooring/crashes/task.py
+++ b/packages/bambooring/src/bambooring/crashes/task.py
@@ -98,21 +98,21 @@
         target: targets.Target,
         causes: causes_module.Causes,
         request_id: str,
-        callback: collections.abc.Callable[[], None],
+        callback: checks.ResultCallback,
     ) -> None:
         """Find out whether a target crashed within a request.
 
-        :param target: the target, which has dropped the request's connection
+        :param target: the target, which has ended the request's connection
         :param causes: the possible causes in the request
         :param request_id: its id
-        :param callback: is called once the crash, if any, is recorded
+        :param callback: is called with the result once a crash is recorded
         """
         crash_id = causes_module.compute_crash_id(target.id, target.born_ms)
 
         def handle_result(result: checks.CheckResult) -> None:
             if result is checks.CheckResult.ENDED:
                 self._record_crash(crash_id, target, causes, request_id)
-            callback()
+            callback(result)
 
         waiting = self._waiting.setdefault(crash_id, [])
         waiting.append(handle_result)
--- a/packages/bambooring/src/bambooring/crashes/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/crashes/tests/test_task.py
@@ -55,7 +55,7 @@
                 _make_target(port),
                 CAUSES,
                 str(number),
-                lambda: results.append(True),
+                lambda result: results.append(True),
             )
         while len(results) < count:
             reactor.run_once()
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -3,6 +3,7 @@
 import structlog
 
 from bambooring.balancing import state as balancing
+from bambooring.crashes import checks
 from bambooring.crashes import state as crashes
 from bambooring.forwarding import access_log
 from bambooring.forwarding import attempt as attempt_module
@@ -257,7 +258,7 @@
     def _resume_elsewhere(self) -> None:
         """Continue a stalled stream at another target, if one is free."""
         attempt = self._attempt
-        if attempt is None or self._caller.is_congested:
+        if attempt is None or attempt.is_over or self._caller.is_congested:
             return
         if not self._forwarder.dispatcher.may_dispatch(self):
             return
@@ -275,6 +276,48 @@
         response = attempt.response
         assert response is not None
         attempt.has_begun = True
+        if self._may_hide_crash(attempt):
+            self._complete_unless_crashed(attempt)
+            return
+        self._complete(attempt, response)
+
+    def _may_hide_crash(self, attempt: attempt_module.Attempt) -> bool:
+        """Return whether a stream may have ended with its target's crash.
+
+        One without a length ends in the same way as one that is whole.
+        """
+        return (
+            attempt.stream is not None
+            and not attempt.has_length
+            and not attempt.stream.has_broken_off
+            and self._forwarder.balancer.has_target(attempt.target)
+        )
+
+    def _complete_unless_crashed(
+        self, attempt: attempt_module.Attempt
+    ) -> None:
+        """Ask whether the target still runs, and complete the response.
+
+        If it doesn't answer in time, the stream counts as whole.
+        """
+        assert attempt.response is not None
+        response = attempt.response
+
+        def handle_result(result: checks.CheckResult) -> None:
+            if self._attempt is not attempt:
+                return
+            if result is checks.CheckResult.ENDED:
+                self.handle_failure(attempt, 'closed_early')
+            else:
+                self._complete(attempt, response)
+
+        self.suspicion.check_target(attempt.target, handle_result)
+
+    def _complete(
+        self,
+        attempt: attempt_module.Attempt,
+        response: messages.TargetResponse,
+    ) -> None:
         if self._is_proved_whole(attempt):
             self.suspicion.record_answer()
         if self._should_retry_failure(attempt, response):
@@ -307,12 +350,11 @@
     def _is_proved_whole(self, attempt: attempt_module.Attempt) -> bool:
         """Return whether a target has answered whole, for all that is known.
 
-        Of a stream, an error in its place says nothing, and one without a
-        length ends in the same way if its target crashes.
+        An error in the place of a stream says nothing of its request.
         """
         if attempt.stream is None:
             return not self.is_stream
-        return attempt.has_length and not attempt.stream.has_broken_off
+        return not attempt.stream.has_broken_off
 
     def _should_retry_failure(
         self,
@@ -379,7 +421,7 @@
             self._retry_after_failure()
             return
 
-        def handle_result() -> None:
+        def handle_result(result: checks.CheckResult) -> None:
             attempt.end_probe()
             self._retry_after_failure()
 
--- a/packages/bambooring/src/bambooring/forwarding/suspicions.py
+++ b/packages/bambooring/src/bambooring/forwarding/suspicions.py
@@ -1,9 +1,9 @@
 """Decide on a pending request by what is known of crashes of targets."""
 
-import collections.abc
 import functools
 
 from bambooring.crashes import causes as causes_module
+from bambooring.crashes import checks
 from bambooring.crashes import state as crashes
 from bambooring.crashes import task as crashes_task
 from bambooring.forwarding import messages
@@ -90,12 +90,12 @@
     def check_target(
         self,
         target: targets.Target,
-        callback: collections.abc.Callable[[], None],
+        callback: checks.ResultCallback,
     ) -> None:
         """Find out whether the target crashed before it answered whole.
 
         :param target: the target
-        :param callback: is called with the result known
+        :param callback: is called with the result
         """
         self._guard.check_target(
             target, self._causes, self._request.attempt_id, callback
--- a/packages/bambooring/src/bambooring/forwarding/tests/raw_targets.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/raw_targets.py
@@ -88,6 +88,24 @@
         sock.close()
 
 
+class CrashingTarget(RawTarget):
+    """A target that ends with its first answer."""
+
+    def __init__(self, answer):
+        super().__init__(answer)
+        self.is_open = True
+
+    def close(self):
+        """Refuse further connections."""
+        if self.is_open:
+            self.is_open = False
+            super().close()
+
+    def _end(self, sock):
+        self.close()
+        super()._end(sock)
+
+
 def make_head(status, *headers):
     """Return the head of a target's own answer to the request with id 7."""
     lines = [b'HTTP/1.1 %d X' % status, b'Id: 7', b'Signed: 1', *headers]
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -253,6 +253,39 @@
     assert (status, body) == (b'502', b'target_failed\n')
 
 
+# Callers got the last chunk of a stream whose target had crashed between two
+# events: without a length its end looks like a whole one's.
+def test_stream_without_a_length_of_a_crashed_target_is_resumed(make_harness):
+    """The target refuses connections, so its stream has broken off."""
+    head = (b'Stream: 1',)
+    first = raw.CrashingTarget(raw.frame(EVENTS[:2], 'none', *head))
+    second = raw.RawTarget(raw.frame(EVENTS[2:], 'none', *head))
+    harness = make_harness(first, second)
+    status, body, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', True)
+    assert _join_chunks(body) == b''.join(EVENTS)
+    assert b'Last: 2' in second.requests[0]
+
+
+def test_stream_without_a_length_that_cannot_be_resumed_is_cut(make_harness):
+    """No other target goes on with it, so it must not look whole."""
+    head = (b'Stream: 1',)
+    first = raw.CrashingTarget(raw.frame(EVENTS[:2], 'none', *head))
+    harness = make_harness(first)
+    status, _, is_whole = _ask(harness, b'/talk/1')
+    assert (status, is_whole) == (b'200', False)
+
+
+# A part that crashed targets within streams without a length was never
+# suspect, since those streams seemed to be whole.
+def test_crash_within_a_stream_without_a_length_is_one(make_harness):
+    """The request is suspect, like with any other framing."""
+    first = raw.CrashingTarget(raw.frame(EVENTS[:1], 'none', b'Stream: 1'))
+    harness = make_harness(first)
+    _ask(harness, b'/talk/1')
+    assert any(news.crashes for news in harness.crash_news)
+
+
 # From 128 KiB on, callers got a second answer as a part of the first one.
 @pytest.mark.parametrize('framing', ['none', 'length'])
 @pytest.mark.parametrize('size', [100_000, 200_000, 400_000])
