--- a/packages/bambooring/src/bambooring/replication/tests/test_elections.py
+++ b/packages/bambooring/src/bambooring/replication/tests/test_elections.py
@@ -12,14 +12,13 @@
 IDS = (1, 2, 3)
 
 
-@pytest.fixture
-def candidate():
-    """Return a replica whose requests for votes were not delivered."""
-    members = [messages.Member(id=id, name=str(id)) for id in IDS]
-    replica = state.Replica(
+def _make_replica(ids):
+    """Return replica 1 of a group, which has just been formed."""
+    members = [messages.Member(id=id, name=str(id)) for id in ids]
+    return state.Replica(
         id=1,
         name='1',
-        voter_names=[str(id) for id in IDS],
+        voter_names=[str(id) for id in ids],
         hard_state=messages.HardState(term=1, voted_for=0),
         snapshot=None,
         entries=[
@@ -33,6 +32,12 @@
         rng=random.Random(1),
         now=0.0,
     )
+
+
+@pytest.fixture
+def candidate():
+    """Return a replica whose requests for votes were not delivered."""
+    replica = _make_replica(IDS)
     replica.step(messages.TimeoutNow(term=1, leader=2), 0.1)
     assert len(_take_requests(replica)) == 2
     return replica
@@ -72,25 +77,7 @@
 
 def _make_leader():
     """Return a leader of four voters, one of which is lost."""
-    ids = (1, 2, 3, 4)
-    members = [messages.Member(id=id, name=str(id)) for id in ids]
-    leader = state.Replica(
-        id=1,
-        name='1',
-        voter_names=[str(id) for id in ids],
-        hard_state=messages.HardState(term=1, voted_for=0),
-        snapshot=None,
-        entries=[
-            messages.Entry(
-                index=1,
-                term=1,
-                kind=messages.EntryKind.MEMBERS,
-                data=log_module.encode_members(members),
-            )
-        ],
-        rng=random.Random(1),
-        now=0.0,
-    )
+    leader = _make_replica((1, 2, 3, 4))
     leader.step(messages.TimeoutNow(term=1, leader=2), 0.1)
     for id in (2, 3):
         reply = messages.VoteReply(
