--- a/packages/bambooring/src/bambooring/replication/tests/test_replacements.py
+++ b/packages/bambooring/src/bambooring/replication/tests/test_replacements.py
@@ -96,7 +96,7 @@
     group.check()
 
 
-# A leader that froze had the loss of a voter counted anew.
+# A change of leaders must not keep a lost voter; this passed before as well.
 def test_leader_is_frozen_between_two_replacements(group):
     """The second loss comes once the frozen leader has caught up."""
     for _ in range(3):
