Describe the new deployments' needs, and add the settings and fields for them

Cause: two deployments ask for evacuation, cold targets, an order of service, a memory budget and homes, which nothing in the code answers yet. Settings, policies and announcements carry the fields that the parts read; nothing uses them yet. The health of targets moves from balancing/state.py into a module of its own, unchanged, since several parts extend it. Behaviour is unchanged.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -16,6 +16,7 @@
 
 from bambooring.balancing import const
 from bambooring.balancing import groups as groups_module
+from bambooring.balancing import health as health_module
 from bambooring.balancing import leaving as leaving_module
 from bambooring.balancing import limit as limit_module
 from bambooring.balancing import rests as rests_module
@@ -26,21 +27,6 @@
 from bambooring_core import bounds
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _TargetHealth:
-    """Failures and refusals that this instance has seen of one target.
-
-    The record is dropped at the target's next complete response. Failures
-    eject the target at once, server errors that it answers with only after
-    several in a row. Until ``busy_until_s`` the target gets no requests.
-    """
-
-    consecutive_failures: int = 0
-    consecutive_errors: int = 0
-    ejected_until_s: float = 0.0
-    busy_until_s: float = 0.0
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Choice:
     """A chosen target and the load that the choice was based on.
@@ -83,7 +69,7 @@
         self._rng = rng
         self._targets_by_service: dict[str, dict[str, targets.Target]] = {}
         self._own_loads: dict[str, peers_module.RunningLoad] = {}
-        self._health_by_target: dict[str, _TargetHealth] = {}
+        self._health = health_module.HealthTracker()
         self.loads = loads_state.ClusterLoads()
         self._limits_by_service: dict[str, limit_module.ConcurrencyLimit] = {}
         self._consecutive_refusals: dict[str, int] = {}
@@ -109,8 +95,7 @@
             for service_targets in by_service.values()
             for target_id in service_targets
         }
-        for target_id in self._health_by_target.keys() - known_ids:
-            del self._health_by_target[target_id]
+        self._health.set_known_targets(known_ids)
         known_runs = {
             runs_module.get_run(target)
             for service_targets in by_service.values()
@@ -202,13 +187,13 @@
             target
             for target in self._list_targets(service)
             if target.id not in excluded_ids
-            and not self._is_busy(target.id, now_s)
+            and not self._health.is_busy(target.id, now_s)
             and self.rests.may_send(target, now_s)
         ]
         healthy = [
             candidate
             for candidate in available
-            if self._is_healthy(candidate.id, now_s)
+            if self._health.is_healthy(candidate.id, now_s)
         ]
         return healthy or available
 
@@ -307,14 +292,6 @@
             if limit.max_requests != float('inf')
         }
 
-    def _is_healthy(self, target_id: str, now_s: float) -> bool:
-        health = self._health_by_target.get(target_id)
-        return health is None or health.ejected_until_s <= now_s
-
-    def _is_busy(self, target_id: str, now_s: float) -> bool:
-        health = self._health_by_target.get(target_id)
-        return health is not None and health.busy_until_s > now_s
-
     def count_running(self, target_id: str) -> int:
         """Return how many requests all instances have running at a target."""
         return self._sum_load(target_id).running
@@ -336,7 +313,7 @@
         usable = [
             target
             for target in service_targets
-            if self._is_healthy(target.id, now_s)
+            if self._health.is_healthy(target.id, now_s)
             and self.rests.may_send(target, now_s)
         ]
         return ServiceCapacity(
@@ -418,7 +395,7 @@
         :param duration_s: the time from sending the request to the end of
             the response, in seconds
         """
-        self._health_by_target.pop(target_id, None)
+        self._health.record_success(target_id)
         mean_s = self._mean_durations_s.get(service, duration_s)
         mean_s += const.DURATION_EWMA_WEIGHT * (duration_s - mean_s)
         self._mean_durations_s[service] = mean_s
@@ -463,8 +440,7 @@
                 const.SERVICE_BACKOFF_S, self.get_mean_duration_s(service)
             )
             self._backoff_until_s[service] = now_s + backoff_s
-        health = self._health_by_target.setdefault(target_id, _TargetHealth())
-        health.busy_until_s = now_s + const.BUSY_TARGET_BACKOFF_S
+        self._health.record_busy(target_id, now_s)
 
     def record_server_error(self, target_id: str) -> bool:
         """Record a server error in a response of a target.
@@ -473,9 +449,7 @@
         :returns: whether the number of consecutive errors has reached the
             threshold at which the target is treated as failed
         """
-        health = self._health_by_target.setdefault(target_id, _TargetHealth())
-        health.consecutive_errors += 1
-        return health.consecutive_errors >= const.CONSECUTIVE_ERRORS_THRESHOLD
+        return self._health.record_server_error(target_id)
 
     def record_failure(self, target_id: str, now_s: float) -> float:
         """Eject a target that failed.
@@ -484,14 +458,7 @@
         :param now_s: the current time in seconds
         :returns: for how long it is ejected, in seconds
         """
-        health = self._health_by_target.setdefault(target_id, _TargetHealth())
-        health.consecutive_failures += 1
-        ejection_s = min(
-            const.EJECTION_MIN_S * 2 ** (health.consecutive_failures - 1),
-            const.EJECTION_MAX_S,
-        )
-        health.ejected_until_s = now_s + ejection_s
-        return ejection_s
+        return self._health.record_failure(target_id, now_s)
 
     @property
     def has_running_requests(self) -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bambooring.balancing import health
 from bambooring.forwarding.tests import harness as harness_module
 from bambooring.forwarding.tests import raw_targets as raw
 from bambooring.policy import messages as policy
@@ -33,7 +34,7 @@
 
 def _ask(harness, path):
     """Return what a caller gets: status, body, and whether it looks whole."""
-    harness.balancer._health_by_target.clear()
+    harness.balancer._health = health.HealthTracker()
     sock = harness.send_request(path)
     data = bytearray()
 
--- a/packages/bambooring/src/bambooring/gateway/messages.py
+++ b/packages/bambooring/src/bambooring/gateway/messages.py
@@ -40,6 +40,19 @@
     time from the request to stop until the process is killed. In any window
     of ``retry_window_s`` all instances together may retry ``retry_ratio`` of
     the requests plus ``retry_slack`` retries. Times are in seconds.
+
+    ``regions_by_domain`` names the region of each failure domain of the
+    cluster, and is empty if the platform doesn't tell. From ``evacuation_s``
+    after its confirmation an evacuation holds at all instances. In any second
+    a cold target may get ``cold_overrun`` times the rate of its service plus
+    ``cold_slack`` requests; 0 for both sets no limit.
+
+    ``memory_bytes`` and ``max_descriptors`` are the limits of the process, 0
+    where the platform sets none. Agents accept permit requests at
+    ``agent_port``, 0 for none. ``shares_health`` has entry instances tell each
+    other which targets fail. ``prefers_own_domain`` keeps requests in their
+    failure domain as long as leaving it doesn't pay; one megabyte between
+    failure domains may then cost ``byte_cost_s_per_mb`` of callers' waiting.
     """
 
     role: str
@@ -62,6 +75,16 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 100.0
+    regions_by_domain: dict[str, str] = dataclasses.field(default_factory=dict)
+    evacuation_s: float = 5.0
+    cold_overrun: float = 0.0
+    cold_slack: float = 0.0
+    memory_bytes: int = 0
+    max_descriptors: int = 0
+    agent_port: int = 0
+    shares_health: bool = False
+    prefers_own_domain: bool = False
+    byte_cost_s_per_mb: float = 0.0
     log_level: str = 'info'
 
     @property
--- a/packages/bambooring/src/bambooring/policy/messages.py
+++ b/packages/bambooring/src/bambooring/policy/messages.py
@@ -36,7 +36,8 @@
     expect, ``max_event_gap_s`` the longest gap between two events of a
     stream that callers accept. Requests of a route with a lower ``priority``
     go first. Anonymous routes need no key. After an interruption, a stream
-    of a resumable route can be continued by another target.
+    of a resumable route can be continued by another target. Only targets in
+    ``allowed_regions`` serve the route; an empty list allows all regions.
     """
 
     name: str
@@ -51,6 +52,7 @@
     is_anonymous: bool
     is_resumable: bool
     max_event_gap_s: float
+    allowed_regions: list[str] = dataclasses.field(default_factory=list)
 
     @property
     def is_retryable(self) -> bool:
@@ -84,22 +86,30 @@
     ``slots`` is the number of requests that a target runs at once, 0 where
     only the targets report it. ``max_connections`` limits the connections of
     all instances together to one target. ``experts`` is set for services
-    whose engines have experts.
+    whose engines have experts. A target is cold for ``cold_s`` seconds after
+    its start and takes ``cold_requests_per_s`` requests a second then; 0 sets
+    no limit.
     """
 
     name: str
     max_connections: int
     slots: int
     experts: ExpertSpec | None = None
+    cold_s: float = 0.0
+    cold_requests_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Account:
-    """A client account and its API keys; a lower ``priority`` goes first."""
+    """A client account and its API keys; a lower ``priority`` goes first.
+
+    Only targets in ``allowed_regions`` serve it; an empty list allows all.
+    """
 
     name: str
     keys: list[str]
     priority: int
+    allowed_regions: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -32,7 +32,8 @@
     ``slots`` is 0 if the target doesn't report it. ``group`` is empty for a
     target outside of a model group. A group that is not open is broken: it
     runs no requests until it opens again, in a later epoch. A void run doesn't
-    count: an earlier run that it would replace outlived it.
+    count: an earlier run that it would replace outlived it. ``cold_ms`` is how
+    long the target stays cold after the announcement, 0 for a warm one.
     """
 
     id: str
@@ -48,6 +49,7 @@
     rank: int = 0
     is_group_open: bool = True
     is_void: bool = False
+    cold_ms: int = 0
 
 
 @codec.register(SCHEMA, 170)
--- a/packages/bambooring/src/bambooring/targets/targets.capnp
+++ b/packages/bambooring/src/bambooring/targets/targets.capnp
@@ -20,6 +20,7 @@
   rank @10 :UInt32;
   isGroupOpen @11 :Bool = true;
   isVoid @12 :Bool;
+  coldMs @13 :UInt32;
 }
 
 struct Announced {
