Evacuate failure domains by order of an operator

Cause: a failure domain that is about to go, or that must be repaired, kept getting requests until its targets failed or left one by one. Change: bambooring.evacuation replicates a set of failure domains with a revision. POST and DELETE /-/evacuation/DOMAIN propose an order and are answered once it is committed. Each control replica sends the set to every entry instance, at link-up before the policy and after each change; an entry applies higher revisions only. A grant of a lease carries the revision of the log, and an entry that lacks it asks for it before it renews its lease. The balancer leaves evacuated targets out of all lists of targets for requests; they stay known to crash checks. A service whose targets are all evacuated refuses its requests at once. The operators' calls move from gateway/control.py to gateway/calls.py. Weighed: sending the set by the nearest replica only, as the policy is sent; the message is too small for that to pay. Renewing the lease in spite of a missing revision; then an instance that lost a message could go on for ever.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -15,6 +15,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import domains as domains_module
 from bambooring.balancing import groups as groups_module
 from bambooring.balancing import health as health_module
 from bambooring.balancing import leaving as leaving_module
@@ -47,7 +48,7 @@
 class ServiceCapacity:
     """The capacity of a service and how much of it is used.
 
-    ``target_count`` counts all targets that take new work,
+    ``target_count`` counts all targets that may get requests,
     ``usable_target_count`` those of them that aren't ejected and don't rest.
     ``slots`` and ``running`` are totals over the usable targets.
     ``waiting_elsewhere`` is the number of requests that wait for the service
@@ -64,9 +65,15 @@
 class Balancer:
     """Choose targets by their load and health, as one instance knows them."""
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        known_domains: collections.abc.Iterable[str] = (),
+    ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
+        self._domains = domains_module.DomainFilter(known_domains)
         self._targets_by_service: dict[str, dict[str, targets.Target]] = {}
         self._own_loads: dict[str, peers_module.RunningLoad] = {}
         self._health = health_module.HealthTracker()
@@ -105,7 +112,10 @@
         self.leaving.set_known_runs(known_runs)
 
     def has_target(self, target: targets.Target) -> bool:
-        """Return whether a run of a target takes new work."""
+        """Return whether a run of a target takes new work.
+
+        It may, although its failure domain is evacuated.
+        """
         service_targets = self._targets_by_service.get(target.service, {})
         known = service_targets.get(target.id)
         return (
@@ -116,12 +126,39 @@
 
     def _list_targets(
         self, service: str
+    ) -> collections.abc.Iterator[targets.Target]:
+        """Yield the targets of a service that may get requests."""
+        for target in self._list_announced(service):
+            if not self._domains.is_evacuated(target.failure_domain):
+                yield target
+
+    def _list_announced(
+        self, service: str
     ) -> collections.abc.Iterator[targets.Target]:
         """Yield the targets of a service that take new work."""
         for target in self._targets_by_service.get(service, {}).values():
             if not self.leaving.is_marked(target):
                 yield target
 
+    def set_evacuated_domains(
+        self, domains: collections.abc.Iterable[str]
+    ) -> None:
+        """Replace the failure domains whose targets get no requests."""
+        self._domains.set_evacuated(domains)
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether a service lacks targets only by evacuations."""
+        if not self._domains.has_evacuated:
+            return False
+        if self._domains.is_all_evacuated:
+            return True
+        has_left_out = False
+        for target in self._list_announced(service):
+            if not self._domains.is_evacuated(target.failure_domain):
+                return False
+            has_left_out = True
+        return has_left_out
+
     def choose(
         self,
         service: str,
--- /dev/null
+++ b/packages/bambooring/src/bambooring/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuate failure domains: stop sending requests to their targets."""
--- a/packages/bambooring/src/bambooring/forwarding/dialect.py
+++ b/packages/bambooring/src/bambooring/forwarding/dialect.py
@@ -27,6 +27,20 @@
     """A call that reads the newest policy."""
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class EvacuateCall:
+    """A call that evacuates a failure domain."""
+
+    failure_domain: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WithdrawEvacuationCall:
+    """A call that withdraws the evacuation of a failure domain."""
+
+    failure_domain: str
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class AnnounceTargetCall:
     """A call by which a target announces itself."""
@@ -54,6 +68,8 @@
 ControlCall = (
     PublishPolicyCall
     | ReadPolicyCall
+    | EvacuateCall
+    | WithdrawEvacuationCall
     | AnnounceTargetCall
     | WithdrawTargetCall
     | UnknownCall
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -90,6 +90,9 @@
         ):
             pending.give_up(const.Reason.GROUP_BROKEN)
             return
+        if self._balancer.is_evacuated(pending.service):
+            pending.give_up(const.Reason.NO_TARGET)
+            return
         if self.refuse_for_rests(pending):
             return
         estimate = self._estimate_wait(pending.service, len(ahead), pending)
@@ -313,6 +316,8 @@
         """Return why a queued request is given up now, None if it isn't."""
         if not self._may_start(pending):
             return const.Reason.STOPPING
+        if self._balancer.is_evacuated(pending.service):
+            return const.Reason.NO_TARGET
         if now_s >= pending.queue_deadline_s:
             return self._get_reject_reason(pending, now_s)
         wait_s = self._get_rest_wait_s(pending)
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -8,8 +8,11 @@
 
 from bambooring.crashes import messages as crashes
 from bambooring.crashes import relay as crashes_relay
+from bambooring.evacuation import messages as evacuation
+from bambooring.evacuation import task as evacuation_task
 from bambooring.experts import rebalancer_types
 from bambooring.forwarding import dialect as dialect_module
+from bambooring.gateway import calls
 from bambooring.gateway import const
 from bambooring.gateway import feeds
 from bambooring.gateway import groups
@@ -25,7 +28,6 @@
 from bambooring.replication import storage as storage_module
 from bambooring.targets import errors as targets_errors
 from bambooring.targets import messages as targets
-from bambooring_core import codec
 from bambooring_core import const as core_const
 from bambooring_core import decoding
 from bambooring_core import errors as core_errors
@@ -45,8 +47,6 @@
     idle_timeout_s=http1_const.IDLE_TIMEOUT_S,
 )
 
-_JSON: typing.Final = (b'Content-Type', b'application/json')
-
 
 class GatewayControl(replica_module.ReplicaHost):
     """Replicate the policy, and register the targets that announce themselves.
@@ -55,7 +55,7 @@
     and agents are linked to it and get what has changed.
     """
 
-    proposable_commands = (policy.Publish, policy.Consult)
+    proposable_commands = (policy.Publish, policy.Consult, evacuation.Order)
 
     def __init__(
         self,
@@ -108,6 +108,18 @@
             get_main_links=self._feeds.list_main,
             get_control_links=self._get_control_links,
         )
+        self._operator_calls = calls.OperatorCalls(
+            submit=self.submit,
+            get_term=lambda: self._replicator.term,
+            get_evacuations=self._get_evacuations,
+            known_domains=settings.regions_by_domain,
+        )
+        self._evacuation_publisher = evacuation_task.EvacuationPublisher(
+            get_evacuations=self._get_evacuations,
+            get_entry_links=functools.partial(
+                self._hub.get_links, core_const.ROLE_ENTRY
+            ),
+        )
         self._lease_granter = leases.LeaseGranter(reactor, self.submit)
         self._group_manager = groups.GroupManager(
             reactor=reactor,
@@ -215,6 +227,9 @@
         """Whether calls are refused, so that those read before can end."""
         return self._reactor.now() >= self._refuse_calls_from_s
 
+    def _get_evacuations(self) -> evacuation.Evacuations:
+        return self._state_machine.evacuation.evacuations
+
     def _get_control_links(self) -> list[links.Link]:
         """Return the links to other replicas that this one dialled."""
         return [
@@ -238,8 +253,8 @@
         """Send a newly linked process what it needs to know.
 
         A replica is greeted and gets the targets, an agent learns whether this
-        replica leads, and an entry instance gets the targets, the topology
-        and the policy.
+        replica leads, and an entry instance gets the evacuations, the targets,
+        the topology and the policy.
         """
         super().handle_link_up(link)
         assert link.peer is not None
@@ -253,6 +268,7 @@
         if link.peer.role == core_const.ROLE_AGENT:
             self._group_manager.greet_agent(link)
             return
+        self._evacuation_publisher.greet(link)
         is_near = link.peer.failure_domain == self._settings.failure_domain
         if is_near:
             self._registrar.send_all_targets(link)
@@ -273,6 +289,7 @@
         if newest.version != self._logged_version:
             self._logged_version = newest.version
             LOG.info('newest policy changed', version=newest.version)
+        self._evacuation_publisher.send_changes()
         self._send_policy()
 
     def _send_policy(self) -> None:
@@ -379,6 +396,8 @@
                 self._update_status(link, message)
             case policy.LeaseRequest():
                 self._lease_granter.add_request(link, message)
+            case evacuation.EvacuationsRequest():
+                self._evacuation_publisher.handle_request(link, message)
             case _:
                 if not self._group_manager.handle_message(link, message):
                     super()._handle_other_message(link, message)
@@ -433,7 +452,7 @@
         """Handle a call of an operator or a target."""
         if self._is_refusing_calls:
             LOG.info('call refused: stopping')
-            _respond(exchange, 503, 'stopping')
+            calls.respond(exchange, 503, 'stopping')
             return
         try:
             call = decoding.contain(
@@ -445,107 +464,22 @@
             metrics.REFUSALS.labels(
                 reason=error.reason, outcome='policy'
             ).inc()
-            _respond(exchange, 422, str(error))
+            calls.respond(exchange, 422, str(error))
             return
         except targets_errors.AnnouncementError as error:
             LOG.info('announcement refused', detail=str(error))
             metrics.REFUSALS.labels(reason='announcement', outcome='400').inc()
-            _respond(exchange, 400, str(error))
+            calls.respond(exchange, 400, str(error))
             return
         except core_errors.DecoderFaultError as error:
             LOG.info('call not decoded', detail=str(error))
             metrics.REFUSALS.labels(reason='call', outcome='503').inc()
-            _respond(exchange, 503, 'cannot be decoded here')
+            calls.respond(exchange, 503, 'cannot be decoded here')
             return
         match call:
-            case dialect_module.PublishPolicyCall():
-                self._publish(exchange, call)
-            case dialect_module.ReadPolicyCall():
-                self._read_policy(exchange)
             case dialect_module.AnnounceTargetCall():
                 self._registrar.handle_announcement(exchange, call.target)
             case dialect_module.WithdrawTargetCall():
                 self._registrar.handle_withdrawal(exchange, call)
             case _:
-                _respond(exchange, 404, 'unknown call')
-
-    def _publish(
-        self,
-        exchange: http1_server.Exchange,
-        call: dialect_module.PublishPolicyCall,
-    ) -> None:
-        command = policy.Publish(
-            version=call.policy.version,
-            digest=call.digest,
-            document=policy_state.compress(call.document),
-        )
-        self.submit(
-            command,
-            const.PUBLISH_TIMEOUT_S,
-            functools.partial(
-                self._respond_to_publish, exchange, command.version
-            ),
-        )
-
-    def _respond_to_publish(
-        self,
-        exchange: http1_server.Exchange,
-        version: int,
-        reply: bytes | None,
-    ) -> None:
-        if reply is None:
-            LOG.info('policy publication timed out', version=version)
-            _respond(exchange, 503, 'no majority in time')
-            return
-        published = codec.unpack(reply)
-        LOG.info(
-            'policy published',
-            version=version,
-            held=published.version,
-            outcome=published.outcome,
-            term=self._replicator.term,
-        )
-        if published.outcome is policy.PublishOutcome.CONFLICT:
-            _respond(exchange, 409, 'other content under this version')
-        else:
-            _respond(exchange, 200, '')
-
-    def _read_policy(self, exchange: http1_server.Exchange) -> None:
-        self.submit(
-            policy.Consult(is_whole=True),
-            const.READ_TIMEOUT_S,
-            functools.partial(self._respond_to_read, exchange),
-        )
-
-    def _respond_to_read(
-        self, exchange: http1_server.Exchange, reply: bytes | None
-    ) -> None:
-        if reply is None:
-            _respond(exchange, 503, 'no majority in time')
-            return
-        document = codec.unpack(reply)
-        if not document.version:
-            _respond(exchange, 503, 'no policy yet')
-            return
-        if not exchange.is_done:
-            body = policy_state.decompress(document.document)
-            exchange.respond(200, [_JSON], body)
-
-
-def _respond(
-    exchange: http1_server.Exchange, status: int, detail: str
-) -> None:
-    """Respond to a call unless its caller has gone.
-
-    :param exchange: the call
-    :param status: the HTTP status
-    :param detail: the response body as text; an empty one sends '{}' as JSON
-    """
-    if exchange.is_done:
-        return
-    body = b'{}'
-    headers: http1.Headers = [_JSON]
-    if detail:
-        headers = [(b'Content-Type', b'text/plain')]
-        body = f'{detail}\n'.encode()
-    exchange.respond(status, headers, body)
+                self._operator_calls.handle(exchange, call)
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -10,6 +10,8 @@
 from bambooring.balancing import state as balancing
 from bambooring.crashes import messages as crashes
 from bambooring.crashes import task as crashes_task
+from bambooring.evacuation import messages as evacuation
+from bambooring.evacuation import task as evacuation_task
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.forwarding import messages as forwarding_messages
 from bambooring.forwarding import task as forwarding
@@ -42,9 +44,10 @@
 class GatewayEntry:
     """Forward callers' requests to targets.
 
-    Linked control replicas send it the policy, the targets, their slow ranks
-    and the topology. They also grant the lease that proves that its policy is
-    the newest. Entry instances send each other load reports as datagrams.
+    Linked control replicas send it the policy, the evacuations, the targets,
+    their slow ranks and the topology. They also grant the lease that proves
+    that its policy is the newest. Entry instances send each other load reports
+    as datagrams.
     """
 
     def __init__(
@@ -68,7 +71,12 @@
             settings.revoke_s * const.LEASE_DURATION_SHARE
         )
         self._registry = targets_state.Registry(settings.heartbeat_s)
-        self._balancer = balancing.Balancer(settings.failure_domain, rng)
+        self._balancer = balancing.Balancer(
+            settings.failure_domain, rng, settings.regions_by_domain
+        )
+        self._evacuations = evacuation_task.EvacuationReceiver(
+            self._evacuate_domains
+        )
         self._budget = budget_module.RetryBudget(reactor.now())
         self._crash_guard = crashes_task.CrashGuard(
             reactor=reactor, send_news=self._send_crash_news
@@ -247,7 +255,9 @@
             case policy.Document():
                 self._apply_policy(link, message)
             case policy.LeaseGrant():
-                self._apply_grant(message)
+                self._apply_grant(link, message)
+            case evacuation.Evacuations():
+                self._evacuations.apply(message, link.name)
             case targets.Announced():
                 self._apply_announced(link, message)
             case targets.GroupPaces():
@@ -318,7 +328,18 @@
         for link in controls:
             link.send(request)
 
-    def _apply_grant(self, grant: policy.LeaseGrant) -> None:
+    def _evacuate_domains(self, domains: list[str]) -> None:
+        self._balancer.set_evacuated_domains(domains)
+        self.forwarder.dispatcher.dispatch_queued()
+        if not self._lease.is_valid(self._lease_clock.now()):
+            self._request_lease()
+
+    def _apply_grant(self, link: links.Link, grant: policy.LeaseGrant) -> None:
+        # Like a newer policy, newer evacuations must be in force before the
+        # lease is renewed, so that no instance goes on without them for
+        # longer than a lease lasts.
+        if self._evacuations.request_newer(link, grant.evacuation_revision):
+            return
         table = self.forwarder.policy_table
         if table is None:
             return
--- a/packages/bambooring/src/bambooring/gateway/leases.py
+++ b/packages/bambooring/src/bambooring/gateway/leases.py
@@ -79,7 +79,9 @@
             if link.is_up:
                 link.send(
                     policy.LeaseGrant(
-                        lease=request.lease, version=document.version
+                        lease=request.lease,
+                        version=document.version,
+                        evacuation_revision=document.evacuation_revision,
                     )
                 )
 
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -111,6 +111,15 @@
 STORAGE_FAILURES = prometheus_client.Counter(
     'bambooring_storage_failures_total', 'Writes to the disk that failed.'
 )
+EVACUATED_DOMAINS = prometheus_client.Gauge(
+    'bambooring_evacuated_domains',
+    'Failure domains whose targets get no requests.',
+)
+EVACUATION_ORDERS = prometheus_client.Counter(
+    'bambooring_evacuation_orders_total',
+    'Orders to evacuate a failure domain or to withdraw it, by outcome.',
+    ['outcome'],
+)
 TERM = prometheus_client.Gauge('bambooring_term', 'Current term.')
 IS_LEADER = prometheus_client.Gauge(
     'bambooring_is_leader', '1 while this replica is the leader.'
--- a/packages/bambooring/src/bambooring/policy/messages.py
+++ b/packages/bambooring/src/bambooring/policy/messages.py
@@ -185,11 +185,16 @@
 @codec.register(SCHEMA, 163)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Document:
-    """A policy version with its compressed document; version 0 is none."""
+    """A policy version with its compressed document; version 0 is none.
+
+    ``evacuation_revision`` is that of the evacuations when a ``Consult`` was
+    applied; it is set in its reply only.
+    """
 
     version: int
     digest: bytes
     document: bytes
+    evacuation_revision: int = 0
 
 
 @codec.register(SCHEMA, 164)
@@ -210,8 +215,10 @@
 class LeaseGrant:
     """Reply that ``version`` was the newest some time after the request.
 
-    ``lease`` is the number of the request.
+    ``lease`` is the number of the request. ``evacuation_revision`` was that
+    of the evacuations at the same time.
     """
 
     lease: int
     version: int
+    evacuation_revision: int = 0
--- a/packages/bambooring/src/bambooring/policy/policy.capnp
+++ b/packages/bambooring/src/bambooring/policy/policy.capnp
@@ -26,6 +26,7 @@
   version @0 :UInt64;
   digest @1 :Data;
   document @2 :Data;
+  evacuationRevision @3 :UInt64;
 }
 
 struct LeaseRequest {
@@ -36,4 +37,5 @@
 struct LeaseGrant {
   lease @0 :UInt64;
   version @1 :UInt64;
+  evacuationRevision @2 :UInt64;
 }
--- a/packages/bambooring/src/bambooring/state_machine.py
+++ b/packages/bambooring/src/bambooring/state_machine.py
@@ -1,7 +1,7 @@
 """Apply the committed log of the control replicas.
 
 The state is the configuration, the claims of bookings, the committed expert
-maps and the policy.
+maps, the policy and the evacuated failure domains.
 """
 
 import functools
@@ -12,6 +12,8 @@
 from bambooring.bookings import state as bookings_state
 from bambooring.configuration import messages as configuration
 from bambooring.configuration import state as configuration_state
+from bambooring.evacuation import messages as evacuation
+from bambooring.evacuation import state as evacuation_state
 from bambooring.experts import messages as experts
 from bambooring.experts import state as experts_state
 from bambooring.policy import messages as policy
@@ -33,6 +35,7 @@
         self.claims = bookings_state.ClaimStore()
         self.switches = experts_state.SwitchStore()
         self.policy = policy_state.PolicyStore()
+        self.evacuation = evacuation_state.EvacuationStore()
         self._time = 0.0
 
     def apply(self, command: bytes) -> bytes:
@@ -55,6 +58,7 @@
             self.claims,
             self.switches,
             self.policy,
+            self.evacuation,
         ):
             for message in component.save():
                 data = codec.pack(message)
@@ -70,6 +74,7 @@
         self.claims = bookings_state.ClaimStore()
         self.switches = experts_state.SwitchStore()
         self.policy = policy_state.PolicyStore()
+        self.evacuation = evacuation_state.EvacuationStore()
         self._time = 0.0
         offset = 0
         while offset < len(data):
@@ -87,6 +92,7 @@
             self.claims,
             self.switches,
             self.policy,
+            self.evacuation,
         ):
             if component.restore(message):
                 return
@@ -147,4 +153,15 @@
 def _apply_consult(
     command: policy.Consult, state_machine: ControlStateMachine, now: float
 ) -> policy.Document:
-    return state_machine.policy.read_newest(command)
+    document = state_machine.policy.read_newest(command)
+    document.evacuation_revision = (
+        state_machine.evacuation.evacuations.revision
+    )
+    return document
+
+
+@_apply.register
+def _apply_evacuation_order(
+    command: evacuation.Order, state_machine: ControlStateMachine, now: float
+) -> evacuation.Ordered:
+    return state_machine.evacuation.apply(command)
