Serve requests by urgency where routes of a service differ in priority

Cause: with too little capacity each step of priority counted as 0.1 to 0.3 s of waiting only, and each instance ordered its own queue.

Change: the policy gives each pair of account and route priority a class (policy/urgency.py), only for services whose routes differ in priority. forwarding/ordering.py has the sort key, forwarding/admission.py decides whether a wait is worthwhile, forwarding/service_order.py has the state of both, forwarding/arrivals.py tells large prompts and returning callers. The load exchange counts waiting requests by urgency, so that an instance leaves freed slots to more urgent requests elsewhere. Streams carry their class to the target. After an outage of a group late requests leave half of the slots to those that can be on time, and the limit grows by 1.3 per interval while the gaps are short.

Ruled out: late returning callers before new ones. In a lasting overload each refusal would then make another late response, until none is on time.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -60,6 +60,16 @@
 LIMIT_INCREMENT: typing.Final = 0.25
 LIMIT_MIN: typing.Final = 2.0
 
+# After a restart the limit grows by this factor in each interval with gaps
+# below the ratio: from 2 to 5 requests per target in 1 s instead of 3 s. One
+# interval's growth lengthens a pass by less than the growth, so gaps stay
+# below the high ratio.
+RECOVERY_GROWTH: typing.Final = 1.3
+GAP_RECOVERY_RATIO: typing.Final = 0.5
+# For so many intervals after a restart requests that will be late leave room
+# for those that can be on time. In this time answers must be on time again.
+RECOVERY_INTERVALS: typing.Final = 8
+
 # Weight of the newest sample in the moving average of a service's request
 # durations, and the duration assumed before the first sample.
 DURATION_EWMA_WEIGHT: typing.Final = 0.05
--- a/packages/bambooring/src/bambooring/balancing/limit.py
+++ b/packages/bambooring/src/bambooring/balancing/limit.py
@@ -22,6 +22,7 @@
     __slots__ = (
         '_gap_count',
         '_gap_sum_s',
+        '_recovery_intervals',
         'accepted_gap_s',
         'mean_gap_s',
         'max_requests',
@@ -33,6 +34,12 @@
         self.mean_gap_s = 0.0
         self._gap_sum_s = 0.0
         self._gap_count = 0
+        self._recovery_intervals = 0
+
+    @property
+    def is_recovering(self) -> bool:
+        """Return whether the service was out until a moment ago."""
+        return self._recovery_intervals > 0
 
     def add_gap(self, gap_s: float, accepted_gap_s: float) -> None:
         """Add a gap between two events of a stream to the open interval.
@@ -61,6 +68,8 @@
             measured
         :param slots: the number of requests that a target can run at once
         """
+        is_recovering = self.is_recovering
+        self._recovery_intervals = max(0, self._recovery_intervals - 1)
         if not mean_gaps_s or not self.accepted_gap_s:
             self._increase(slots)
             return
@@ -70,6 +79,8 @@
                 min(self.max_requests, float(slots)) - const.LIMIT_DECREMENT
             )
             self.max_requests = max(const.LIMIT_MIN, limit)
+        elif is_recovering and ratio < const.GAP_RECOVERY_RATIO:
+            self._increase(slots, const.RECOVERY_GROWTH)
         elif ratio < const.GAP_LOW_RATIO:
             self._increase(slots)
 
@@ -79,8 +90,12 @@
         All callers that waited come at once, and the service is slow at first.
         """
         self.max_requests = min(self.max_requests, const.LIMIT_MIN)
+        self._recovery_intervals = const.RECOVERY_INTERVALS
 
-    def _increase(self, slots: int) -> None:
-        self.max_requests += const.LIMIT_INCREMENT
+    def _increase(self, slots: int, growth: float = 1.0) -> None:
+        increment = max(
+            const.LIMIT_INCREMENT, self.max_requests * (growth - 1.0)
+        )
+        self.max_requests += increment
         if self.max_requests > slots:
             self.max_requests = float('inf')
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -12,6 +12,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 
 from bambooring.balancing import const
@@ -61,6 +62,20 @@
     waiting_elsewhere: int
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Room:
+    """What the usable targets of a service may run and do run.
+
+    ``slots`` is how many requests they may run at once, ``running`` how many
+    they run. ``free`` is how many more may be sent, which counts one beyond
+    the slots of each target.
+    """
+
+    free: int
+    slots: float
+    running: int
+
+
 class Balancer:
     """Choose targets by their load and health, as one instance knows them."""
 
@@ -238,6 +253,28 @@
         running = load.running + 1
         return running * self._groups.get_slowdown(target) <= max_running
 
+    def measure_room(self, service: str, now_s: float) -> Room:
+        """Return how much more a service's usable targets may run."""
+        self.loads.expire(now_s)
+        limit = self._limits_by_service.get(service)
+        limit_per_target = limit.max_requests if limit else float('inf')
+        room = Room(free=0, slots=0.0, running=0)
+        for target in self._list_candidates(service, now_s, ()):
+            slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+            room.slots += min(slots, limit_per_target)
+            max_running = min(
+                slots + const.EXTRA_REQUESTS_PER_TARGET, limit_per_target
+            ) / self._groups.get_slowdown(target)
+            running = self.count_running(target.id)
+            room.running += running
+            room.free += max(0, math.floor(max_running) - running)
+        return room
+
+    def is_recovering(self, service: str) -> bool:
+        """Return whether a service's group opened again a moment ago."""
+        limit = self._limits_by_service.get(service)
+        return limit is not None and limit.is_recovering
+
     def update_slowdowns(
         self, group_paces: targets.GroupPaces, now_s: float
     ) -> bool:
@@ -470,13 +507,19 @@
         return round(limit.mean_gap_s * 1000) if limit else 0
 
     def make_load_report(
-        self, sender: str, incarnation: int, waiting: dict[str, int]
+        self,
+        sender: str,
+        incarnation: int,
+        waiting: dict[str, int],
+        waiting_by_urgency: dict[str, list[int]] | None = None,
     ) -> targets.Load:
         """Return the load report of this instance for the others.
 
         :param sender: this instance's name
         :param incarnation: the number of this instance's run
         :param waiting: by service, how many requests wait here
+        :param waiting_by_urgency: by service whose order depends on it, how
+            many of them there are of each urgency
         """
         self._report_sequence += 1
         return targets.Load(
@@ -496,6 +539,9 @@
                     service=name,
                     waiting=waiting.get(name, 0),
                     gap_ms=self._get_gap_ms(name),
+                    waiting_by_urgency=(waiting_by_urgency or {}).get(
+                        name, []
+                    ),
                 )
                 for name in waiting.keys() | self._limits_by_service.keys()
             ],
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -42,6 +42,64 @@
 FAIRNESS_EXPIRY_S: typing.Final = 60.0
 FAIRNESS_MAX_KEYS: typing.Final = 4096
 
+# Where routes differ in priority, an account, route or subject goes before
+# more urgent requests only if its share is below this fraction of all: above
+# the quarter that it must get, and low enough that a less urgent route whose
+# demand is 2.4 times the usual stays behind the urgent ones.
+STARVED_SHARE: typing.Final = 0.4
+# The same for the largest prompts of a route, of which half must be served.
+STARVED_SIZE_SHARE: typing.Final = 0.65
+# Few requests of a key say little: as many are added with the mean share.
+FAIRNESS_PRIOR_COUNT: typing.Final = 2.0
+# An instance gets few requests a second, too few for a shorter time.
+ORDERED_HALF_LIFE_S: typing.Final = 20.0
+# Subjects without bound share so many counts.
+SUBJECT_BUCKETS: typing.Final = 512
+
+# The quantiles of a route's prompt sizes and time limits are computed over a
+# window of values, and again after some more of them.
+QUANTILE_WINDOW: typing.Final = 256
+QUANTILE_UPDATE_EVERY: typing.Final = 32
+QUANTILE_MIN_VALUES: typing.Final = 20
+LARGE_FROM_SHARE: typing.Final = 0.7
+LARGEST_FROM_SHARE: typing.Final = 0.9
+# First attempts have the most time left, and retries some seconds less. If
+# this share of requests has as much time as the highest ones, up to the
+# tolerance, it is the time limit of all first attempts.
+USUAL_TIME_SHARE: typing.Final = 0.9
+COMMON_TIME_SHARE: typing.Final = 0.6
+COMMON_TIME_TOLERANCE: typing.Final = 0.01
+QUANTILES: typing.Final = (
+    LARGE_FROM_SHARE,
+    LARGEST_FROM_SHARE,
+    COMMON_TIME_SHARE,
+)
+# A caller comes back after at least half of the shortest Retry-After.
+RETURNING_MIN_S: typing.Final = 0.1
+
+# A request waits no longer than this share of its caller's time. From an
+# eighth on a refusal costs the caller more the longer it was held.
+HELD_TIME_SHARE: typing.Final = 0.12
+# A request that waits already is refused if the estimate exceeds its limit by
+# this factor.
+RECHECK_SLACK: typing.Final = 1.5
+# More urgent requests are taken to leave at least this share of the slots.
+MIN_LEFT_SHARE: typing.Final = 0.05
+# With fewer slots taken and nothing waiting no request is refused.
+IDLE_SLOTS_SHARE: typing.Final = 0.5
+# Callers honour a Retry-After up to a third of their time; the clocks and the
+# network take some of it.
+MAX_RETRY_TIME_SHARE: typing.Final = 0.3
+# Weight of the newest request in the share that each urgency takes.
+DISPATCH_EWMA_WEIGHT: typing.Final = 0.05
+
+# A freed slot is left to more urgent requests at other instances for no
+# longer than this: two intervals of the relays between failure domains.
+HOLD_BACK_MAX_S: typing.Final = 0.15
+# After an outage, requests that will be late leave this share of the slots to
+# those that can be on time.
+RECOVERY_ON_TIME_SHARE: typing.Final = 0.5
+
 # The waiting time that one step of priority counts for in the queue order.
 ACCOUNT_PRIORITY_STEP_S: typing.Final = 0.3
 ROUTE_PRIORITY_STEP_S: typing.Final = 0.1
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -16,6 +16,8 @@
 from bambooring.forwarding import const
 from bambooring.forwarding import decisions
 from bambooring.forwarding import messages
+from bambooring.forwarding import ordering
+from bambooring.forwarding import service_order
 from bambooring.routing import budget as budget_module
 from bambooring_core import reactor as reactor_module
 
@@ -45,6 +47,7 @@
         self._budget = budget
         self._rng = rng
         self._report_load = report_load
+        self.order = service_order.ServiceOrder(balancer, report_load)
         self._queues: dict[str, list[pending_request.PendingRequest]] = {}
         self._poll_timer: reactor_module.Timer | None = None
         self._planned_stop: messages.PlannedStop | None = None
@@ -55,6 +58,14 @@
             name: len(queue) for name, queue in self._queues.items() if queue
         }
 
+    def count_queued_by_urgency(self) -> dict[str, list[int]]:
+        """Return how many requests of each urgency are queued, by service."""
+        return {
+            name: self.order.count_by_urgency(queue)
+            for name, queue in self._queues.items()
+            if any(pending.standing is not None for pending in queue)
+        }
+
     def dispatch_or_queue(
         self, pending: 'pending_request.PendingRequest'
     ) -> None:
@@ -92,9 +103,12 @@
             return
         if self.refuse_for_rests(pending):
             return
-        estimate = self._estimate_wait(pending.service, len(ahead), pending)
         if self._wait_for_rests(pending, now_s):
             return
+        if pending.standing is not None and self._may_refuse_by_order(pending):
+            self._queue_by_order(pending, pending.standing, len(ahead))
+            return
+        estimate = self._estimate_wait(pending.service, len(ahead), pending)
         if not estimate.is_worthwhile:
             LOG.info(
                 'no place in the queue',
@@ -114,6 +128,67 @@
             ),
         )
 
+    def _may_refuse_by_order(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> bool:
+        """Return whether the order of service decides if a request waits."""
+        return (
+            pending.progress.may_be_refused
+            and not self._balancer.is_group_broken(pending.service)
+        )
+
+    def _queue_by_order(
+        self,
+        pending: 'pending_request.PendingRequest',
+        standing: ordering.Standing,
+        ahead: int,
+    ) -> None:
+        """Queue a request where routes differ in priority, or give it up."""
+        now_s = self._reactor.now()
+        verdict = self.order.decide(
+            pending,
+            standing,
+            ahead=ahead,
+            waiting=len(self._queues[pending.service]),
+            now_s=now_s,
+        )
+        if not verdict.is_admitted:
+            pending.give_up(self._get_reject_reason(pending, now_s))
+            return
+        self._append_to_queue(
+            pending,
+            min(
+                now_s + verdict.limit_s,
+                pending.received_s + pending.max_wait_s,
+            ),
+        )
+
+    def _give_up_hopeless(
+        self, queue: list['pending_request.PendingRequest']
+    ) -> None:
+        """Give up the last ones of a queue if their wait has become too long.
+
+        The queue is in order. So the least urgent ones make room for a more
+        urgent request that has arrived.
+        """
+        now_s = self._reactor.now()
+        for ahead, pending in reversed(list(enumerate(queue))):
+            if pending.standing is None or not self._may_refuse_by_order(
+                pending
+            ):
+                return
+            verdict = self.order.decide(
+                pending,
+                pending.standing,
+                ahead=ahead,
+                waiting=len(queue),
+                now_s=now_s,
+                queue_limit_s=pending.queue_deadline_s - now_s,
+            )
+            if verdict.is_admitted:
+                return
+            pending.give_up(self._get_reject_reason(pending, now_s))
+
     def _holds_up_others(
         self, queued: 'pending_request.PendingRequest'
     ) -> bool:
@@ -121,6 +196,8 @@
 
         One that no untried target may take yet is passed by others.
         """
+        if not self.order.may_take_slot(queued, self._reactor.now()):
+            return False
         return not queued.tried_targets or self.may_dispatch(queued)
 
     def _append_to_queue(
@@ -242,12 +319,23 @@
 
     def _try_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
         now_s = self._reactor.now()
+        if not self.order.may_take_slot(pending, now_s):
+            return False
         choice = self._choose(pending, now_s)
         if choice is None:
             return False
-        pending.send_to_target(choice)
+        self._send(pending, choice, now_s)
         return True
 
+    def _send(
+        self,
+        pending: 'pending_request.PendingRequest',
+        choice: balancing.Choice,
+        now_s: float,
+    ) -> None:
+        self.order.record_dispatch(pending, now_s)
+        pending.send_to_target(choice)
+
     def _choose(
         self, pending: 'pending_request.PendingRequest', now_s: float
     ) -> balancing.Choice | None:
@@ -293,6 +381,7 @@
             queue.sort(key=lambda pending: pending.get_queue_key(now_s))
             while queue and self._dispatch_first(queue):
                 pass
+            self._give_up_hopeless(queue)
 
     def _give_up_overdue(
         self, queue: list['pending_request.PendingRequest'], now_s: float
@@ -329,10 +418,12 @@
         """
         now_s = self._reactor.now()
         for pending in queue:
+            if not self.order.may_take_slot(pending, now_s):
+                continue
             choice = self._choose(pending, now_s)
             if choice is not None:
                 queue.remove(pending)
-                pending.send_to_target(choice)
+                self._send(pending, choice, now_s)
                 return True
             if not pending.tried_targets:
                 # Any target would do, so there is none for the others either.
@@ -346,6 +437,9 @@
         queue = self._queues.get(pending.service, [])
         if pending in queue:
             queue.remove(pending)
+            if pending.standing is not None:
+                # Others may leave a slot for it.
+                self._report_load()
 
     def plan_stop(self, planned_stop: messages.PlannedStop) -> None:
         """Refuse from now on what can't be done before the process stops."""
@@ -380,6 +474,13 @@
             )
             wait_s = share * pending.get_time_left_s()
             return max(wait_s, const.RETRY_AFTER_MIN_S)
+        if pending.standing is not None:
+            return self.order.compute_retry_after_s(
+                pending,
+                pending.standing,
+                waiting=len(self._queues.get(service, ())),
+                draw=self._rng.random(),
+            )
         mean_duration_s = self._balancer.get_mean_duration_s(service)
         slots = max(capacity.slots, balancing_const.DEFAULT_SLOTS_PER_TARGET)
         waiting = (
--- a/packages/bambooring/src/bambooring/forwarding/fairness.py
+++ b/packages/bambooring/src/bambooring/forwarding/fairness.py
@@ -23,8 +23,8 @@
     refused: float = 0.0
     updated_s: float = 0.0
 
-    def decay(self, now_s: float) -> None:
-        factor = 0.5 ** ((now_s - self.updated_s) / const.FAIRNESS_HALF_LIFE_S)
+    def decay(self, now_s: float, half_life_s: float) -> None:
+        factor = 0.5 ** ((now_s - self.updated_s) / half_life_s)
         self.served *= factor
         self.refused *= factor
         self.updated_s = now_s
@@ -40,9 +40,12 @@
     The forwarder uses it to order its queues.
     """
 
-    __slots__ = ('_counts', '_totals')
+    __slots__ = ('_counts', '_half_life_s', '_totals')
 
-    def __init__(self) -> None:
+    def __init__(
+        self, half_life_s: float = const.FAIRNESS_HALF_LIFE_S
+    ) -> None:
+        self._half_life_s = half_life_s
         self._totals = _ResultCount()
         self._counts: dict[str, _ResultCount] = {}
 
@@ -61,7 +64,7 @@
         """
         counts = [self._counts.setdefault(key, _ResultCount()) for key in keys]
         for count in [self._totals, *counts]:
-            count.decay(now_s)
+            count.decay(now_s, self._half_life_s)
             if is_served:
                 count.served += 1
             else:
@@ -90,3 +93,26 @@
         if count is None or not count.total:
             return False
         return count.served < min_share * count.total
+
+    def is_starved(
+        self, key: str, min_fraction: float, reference_key: str = ''
+    ) -> bool:
+        """Return whether a key has too few requests served for its number.
+
+        Unlike :meth:`is_underserved` it needs more than a few results.
+
+        :param key: an account, a route, a subject or a size
+        :param min_fraction: the fraction of the reference's served share
+            below which it is starved
+        :param reference_key: the key that it is compared with, '' for all
+        """
+        count = self._counts.get(key)
+        if count is None or not count.refused:
+            return False
+        reference = self._totals
+        if reference_key:
+            reference = self._counts.get(reference_key, reference)
+        share = reference.served / reference.total if reference.total else 0.0
+        prior = const.FAIRNESS_PRIOR_COUNT
+        smoothed_share = (count.served + prior * share) / (count.total + prior)
+        return smoothed_share < min_fraction * share
--- a/packages/bambooring/src/bambooring/forwarding/messages.py
+++ b/packages/bambooring/src/bambooring/forwarding/messages.py
@@ -39,13 +39,15 @@
 
     The dialect encodes it as headers. ``account`` is the client account's
     name, empty for a request without an account. ``last_event_id`` is the
-    last event of a stream that the caller already has.
+    last event of a stream that the caller already has. ``urgency`` is from 0,
+    the most urgent, to 9, None where targets needn't know it.
     """
 
     target_id: str
     account: str
     time_left_s: float
     last_event_id: int | None
+    urgency: int | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -6,6 +6,7 @@
 from bambooring.crashes import checks
 from bambooring.crashes import state as crashes
 from bambooring.forwarding import access_log
+from bambooring.forwarding import arrivals
 from bambooring.forwarding import attempt as attempt_module
 from bambooring.forwarding import attempt_stream
 from bambooring.forwarding import caller_response
@@ -14,6 +15,7 @@
 from bambooring.forwarding import errors
 from bambooring.forwarding import forwarder as forwarder_module
 from bambooring.forwarding import messages
+from bambooring.forwarding import ordering
 from bambooring.forwarding import rejections
 from bambooring.forwarding import suspicions
 from bambooring import metrics
@@ -41,6 +43,8 @@
         service: str,
         policy_version: int,
         lease_age_s: float,
+        urgency: int | None,
+        traits: arrivals.Traits,
     ) -> None:
         self._forwarder = forwarder
         self._exchange = exchange
@@ -66,6 +70,18 @@
             request, self.route
         )
         self.queue_deadline_s = self.deadline_s
+        self.first_received_s = self.received_s - traits.elapsed_s
+        self.standing: ordering.Standing | None = None
+        if urgency is not None:
+            self.standing = ordering.make_standing(
+                urgency=urgency,
+                request=request,
+                route=self.route,
+                account=self.account,
+                traits=traits,
+                first_received_s=self.first_received_s,
+                deadline_s=self.deadline_s,
+            )
         self._policy_version = policy_version
         self._lease_age_s = lease_age_s
         self._caller = caller_response.CallerResponse(
@@ -87,11 +103,15 @@
         exchange.on_disconnect = self._handle_caller_gone
         exchange.on_drained = self._resume_reading
 
-    def get_queue_key(self, now_s: float) -> decisions.QueueKey:
+    def get_queue_key(self, now_s: float) -> tuple[float, ...]:
         """Return the sort key in the queue; the lowest is served first.
 
         :param now_s: the current time in seconds
         """
+        if self.standing is not None:
+            return self._forwarder.dispatcher.order.compute_key(
+                self.standing, self, now_s
+            )
         return decisions.compute_queue_key(
             self.route,
             self.account,
@@ -103,6 +123,11 @@
             ),
         )
 
+    @property
+    def objective_s(self) -> float:
+        """Return the time to the first byte that the caller expects."""
+        return self.route.first_byte_objective_s
+
     @property
     def max_wait_s(self) -> float:
         """Return the longest time from its receipt to its dispatch.
@@ -165,6 +190,9 @@
             account=self.account.name if self.account else '',
             time_left_s=self.get_time_left_s(),
             last_event_id=last_event_id,
+            urgency=self.standing.urgency
+            if self.standing is not None and self.is_stream
+            else None,
         )
 
     def read_response_head(
@@ -578,10 +606,13 @@
         self._forwarder.dispatcher.remove_from_queue(self)
         self._forwarder.remove_request(self)
         if outcome != const.Reason.CALLER_LEFT:
+            now_s = self._forwarder.reactor.now()
+            is_served = outcome == 'answered'
             self._forwarder.fairness.record_result(
-                self._fairness_keys,
-                is_served=outcome == 'answered',
-                now_s=self._forwarder.reactor.now(),
+                self._fairness_keys, is_served=is_served, now_s=now_s
+            )
+            self._forwarder.dispatcher.order.record_result(
+                self, is_served=is_served, now_s=now_s
             )
         access_log.log_request(
             access_log.RequestRecord(
--- /dev/null
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -0,0 +1,339 @@
+"""Keep what the order of service depends on, by service.
+
+It is the state behind ``ordering`` and ``admission``, without input, output or
+clock.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+import structlog
+
+from bambooring.balancing import state as balancing
+from bambooring.forwarding import admission
+from bambooring.forwarding import const
+from bambooring.forwarding import decisions
+from bambooring.forwarding import fairness
+from bambooring.forwarding import messages
+from bambooring.forwarding import ordering
+from bambooring import metrics
+from bambooring.policy import urgency
+
+LOG = structlog.get_logger(__name__)
+
+
+class OrderedRequest(typing.Protocol):
+    """What the order of service needs to know of a pending request."""
+
+    service: str
+    request: messages.CallerRequest
+    standing: ordering.Standing | None
+    progress: decisions.Progress
+    first_received_s: float
+    admitted_s: float
+    deadline_s: float
+
+    @property
+    def objective_s(self) -> float:
+        """Return the time to the first byte that the caller expects."""
+
+    def get_time_left_s(self) -> float:
+        """Return the time until the request's deadline, in seconds."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _HeldSlots:
+    """Free slots that are left to other instances since ``since_s``."""
+
+    since_s: float
+    free: int
+
+
+class _ServiceState:
+    """The state of one service whose routes differ in priority."""
+
+    __slots__ = ('dispatch_shares', 'fairness', 'held')
+
+    def __init__(self) -> None:
+        self.fairness = fairness.FairnessTracker(const.ORDERED_HALF_LIFE_S)
+        # The share of the requests sent, by urgency and lateness.
+        self.dispatch_shares = [0.0] * (2 * urgency.CLASS_COUNT)
+        self.held: _HeldSlots | None = None
+
+
+class ServiceOrder:
+    """Decide which waiting requests may have a slot, and which may wait."""
+
+    def __init__(
+        self,
+        balancer: balancing.Balancer,
+        report_load: collections.abc.Callable[[], None],
+    ) -> None:
+        self._balancer = balancer
+        self._report_load = report_load
+        self._states: dict[str, _ServiceState] = {}
+        self._rooms: dict[str, balancing.Room] = {}
+        self._rooms_measured_s = 0.0
+
+    def _get_state(self, service: str) -> _ServiceState:
+        state = self._states.get(service)
+        if state is None:
+            state = self._states[service] = _ServiceState()
+        return state
+
+    def compute_key(
+        self,
+        standing: ordering.Standing,
+        request: OrderedRequest,
+        now_s: float,
+    ) -> ordering.OrderedKey:
+        """Return the sort key of a request in its queue."""
+        return ordering.compute_ordered_key(
+            standing,
+            is_response_started=request.progress.is_response_started,
+            is_underserved=self._is_underserved(standing, request.service),
+            now_s=now_s,
+        )
+
+    def _is_underserved(
+        self, standing: ordering.Standing, service: str
+    ) -> bool:
+        tracker = self._get_state(service).fairness
+        if standing.size_key and tracker.is_starved(
+            standing.size_key, const.STARVED_SIZE_SHARE, standing.route_key
+        ):
+            return True
+        return any(
+            tracker.is_starved(key, const.STARVED_SHARE)
+            for key in (
+                standing.route_key,
+                standing.account_key,
+                standing.subject_key,
+            )
+            if key
+        )
+
+    def record_result(
+        self, request: OrderedRequest, *, is_served: bool, now_s: float
+    ) -> None:
+        """Count a request that has ended."""
+        standing = request.standing
+        if standing is None:
+            return
+        if not is_served:
+            metrics.UNSERVED.labels(urgency=standing.urgency).inc()
+        keys = (
+            standing.route_key,
+            standing.account_key,
+            standing.size_key,
+            standing.subject_key,
+        )
+        self._get_state(request.service).fairness.record_result(
+            filter(None, keys), is_served=is_served, now_s=now_s
+        )
+
+    def record_dispatch(self, request: OrderedRequest, now_s: float) -> None:
+        """Count a request that is sent to a target."""
+        self._rooms.clear()
+        standing = request.standing
+        if standing is None:
+            return
+        shares = self._get_state(request.service).dispatch_shares
+        weight = const.DISPATCH_EWMA_WEIGHT
+        for index, share in enumerate(shares):
+            shares[index] = share * (1 - weight)
+        shares[2 * standing.urgency + standing.is_late(now_s)] += weight
+        metrics.DISPATCH_WAIT_S.labels(urgency=standing.urgency).observe(
+            now_s - request.admitted_s
+        )
+
+    def get_exchange_urgency(self, request: OrderedRequest) -> int:
+        """Return the urgency that other instances leave slots for.
+
+        Without this a class that is starved would stay so while any more
+        urgent request waits at another instance.
+        """
+        standing = request.standing
+        if standing is None:
+            return urgency.LEAST_URGENT
+        if request.progress.is_response_started or self._is_underserved(
+            standing, request.service
+        ):
+            return 0
+        return standing.urgency
+
+    def count_by_urgency(
+        self, requests: collections.abc.Iterable[OrderedRequest]
+    ) -> list[int]:
+        """Return how many waiting requests there are of each urgency."""
+        counts = [0] * urgency.CLASS_COUNT
+        for request in requests:
+            counts[self.get_exchange_urgency(request)] += 1
+        return counts
+
+    def may_take_slot(self, request: OrderedRequest, now_s: float) -> bool:
+        """Return whether a request may have a free slot, if there is one.
+
+        A less urgent request leaves as many slots as more urgent ones wait at
+        other instances. If these don't take any for a while, they can't.
+        """
+        if request.progress.is_response_started:
+            return True
+        if not self._may_take_slot_after_outage(request, now_s):
+            return False
+        if request.standing is None:
+            return True
+        state = self._get_state(request.service)
+        counts = self._balancer.loads.count_waiting_by_urgency(request.service)
+        before = sum(counts[: self.get_exchange_urgency(request)])
+        if not before:
+            state.held = None
+            return True
+        room = self._measure_room(request.service, now_s)
+        if not room.free or room.free > before:
+            state.held = None
+            return True
+        if state.held is None or room.free < state.held.free:
+            state.held = _HeldSlots(since_s=now_s, free=room.free)
+            metrics.SLOTS_LEFT.inc()
+            self._report_load()
+        state.held.free = room.free
+        if now_s - state.held.since_s < const.HOLD_BACK_MAX_S:
+            return False
+        LOG.info(
+            'slot not taken elsewhere',
+            service=request.service,
+            urgency=request.standing.urgency,
+            ahead_elsewhere=before,
+            free=room.free,
+            report_age_ms=round(
+                self._balancer.loads.get_oldest_age_s(now_s) * 1000
+            ),
+        )
+        state.held = None
+        return True
+
+    def _may_take_slot_after_outage(
+        self, request: OrderedRequest, now_s: float
+    ) -> bool:
+        """Return whether a request leaves enough room after an outage.
+
+        All that waited come at once and will be late. If they took all slots,
+        those that arrive in the next seconds would be late too.
+        """
+        if not self._balancer.is_recovering(request.service):
+            return True
+        if not is_late(request, now_s):
+            return True
+        room = self._measure_room(request.service, now_s)
+        return room.free > const.RECOVERY_ON_TIME_SHARE * room.slots
+
+    def _measure_room(self, service: str, now_s: float) -> balancing.Room:
+        """Return the room at the targets, measured once at each moment."""
+        if service not in self._rooms or self._rooms_measured_s != now_s:
+            self._rooms.clear()
+            self._rooms_measured_s = now_s
+            self._rooms[service] = self._balancer.measure_room(service, now_s)
+        return self._rooms[service]
+
+    def decide(
+        self,
+        request: OrderedRequest,
+        standing: ordering.Standing,
+        *,
+        ahead: int,
+        waiting: int,
+        now_s: float,
+        queue_limit_s: float | None = None,
+    ) -> admission.Verdict:
+        """Decide whether a request should wait for a slot.
+
+        :param request: the request
+        :param standing: its standing
+        :param ahead: how many requests that wait here go before it
+        :param waiting: how many requests wait here
+        :param now_s: the current time in seconds
+        :param queue_limit_s: how much longer one that waits may do so
+        """
+        service = request.service
+        counts = self._balancer.loads.count_waiting_by_urgency(service)
+        exchange_urgency = self.get_exchange_urgency(request)
+        # Of those that are equal about half came first.
+        ahead_elsewhere = (
+            sum(counts[:exchange_urgency]) + counts[exchange_urgency] / 2
+        )
+        room = self._measure_room(service, now_s)
+        slots = room.slots
+        if self._balancer.is_recovering(service) and is_late(request, now_s):
+            slots *= 1 - const.RECOVERY_ON_TIME_SHARE
+        shares = self._get_state(service).dispatch_shares
+        verdict = admission.decide(
+            admission.Outlook(
+                slots=slots,
+                running=room.running,
+                waiting=waiting + sum(counts),
+                ahead=ahead + ahead_elsewhere,
+                preferred_share=sum(shares[: 2 * exchange_urgency]),
+                late_preferred_share=sum(shares[: 2 * exchange_urgency + 1]),
+                mean_duration_s=self._balancer.get_mean_duration_s(service),
+                time_left_s=request.get_time_left_s(),
+                on_time_left_s=standing.on_time_until_s - now_s,
+                queue_limit_s=queue_limit_s,
+            )
+        )
+        if not verdict.is_admitted:
+            LOG.info(
+                'wait not worthwhile',
+                request=request.request.attempt_id,
+                service=service,
+                urgency=standing.urgency,
+                is_returning=standing.is_returning,
+                ahead=ahead,
+                ahead_elsewhere=round(ahead_elsewhere, 1),
+                slots=round(slots, 1),
+                running=room.running,
+                wait_ms=round(verdict.wait_s * 1000),
+                limit_ms=round(verdict.limit_s * 1000),
+                is_queued=queue_limit_s is not None,
+                report_age_ms=round(
+                    self._balancer.loads.get_oldest_age_s(now_s) * 1000
+                ),
+            )
+        return verdict
+
+    def compute_retry_after_s(
+        self,
+        request: OrderedRequest,
+        standing: ordering.Standing,
+        *,
+        waiting: int,
+        draw: float,
+    ) -> float:
+        """Return after how long a refused caller should retry, in seconds.
+
+        :param request: the request
+        :param standing: its standing
+        :param waiting: how many requests wait here
+        :param draw: a random number from 0 to 1
+        """
+        service = request.service
+        counts = self._balancer.loads.count_waiting_by_urgency(service)
+        waiting += sum(counts[: standing.urgency + 1])
+        mean_duration_s = self._balancer.get_mean_duration_s(service)
+        room = self._rooms.get(service)
+        slots = max(room.slots if room else 0.0, 1.0)
+        return admission.compute_retry_after_s(
+            wait_s=(1 + waiting / slots) * mean_duration_s,
+            mean_duration_s=mean_duration_s,
+            time_left_s=request.get_time_left_s(),
+            draw=draw,
+        )
+
+
+def is_late(request: OrderedRequest, now_s: float) -> bool:
+    """Return whether a request's first byte can't be in time any more."""
+    return (
+        now_s - request.first_received_s
+        > request.objective_s * const.LATE_OBJECTIVE_SHARE
+    )
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -7,6 +7,7 @@
 
 from bambooring.balancing import state as balancing
 from bambooring.crashes import task as crashes_task
+from bambooring.forwarding import arrivals
 from bambooring.forwarding import attempt as attempt_module
 from bambooring.forwarding import const
 from bambooring.forwarding import decisions
@@ -80,6 +81,7 @@
         )
         self._schedule_load_report = schedule_load_report
         self._make_call = make_call
+        self._arrivals = arrivals.ArrivalTracker()
         self._pending_requests: set[pending_request.PendingRequest] = set()
 
     @property
@@ -121,16 +123,21 @@
             return
         self._budget.deposit()
         assert self.policy_table is not None
+        service = policy_state.draw_service(result.route.services, self._rng)
         pending = pending_request.PendingRequest(
             forwarder=self,
             exchange=exchange,
             request=request,
             admission=result,
-            service=policy_state.draw_service(
-                result.route.services, self._rng
-            ),
+            service=service,
             policy_version=self.policy_table.version,
             lease_age_s=self._lease.get_age_s(lease_now_s),
+            urgency=self.policy_table.urgencies.find(
+                service, result.route, result.account
+            ),
+            traits=self._arrivals.classify(
+                result.route.name, request.prompt_tokens, request.time_left_s
+            ),
         )
         self._pending_requests.add(pending)
         self.dispatcher.dispatch_or_queue(pending)
@@ -185,6 +192,7 @@
             candidates=choice.candidate_count,
             parts=pending.request.prompt_parts[: const.MAX_LOGGED_PARTS],
             report_age_ms=round(choice.oldest_report_age_s * 1000),
+            urgency=pending.standing.urgency if pending.standing else None,
         )
         attempt.send(headers, pending.silence_timeout_s)
         return attempt
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -445,6 +445,7 @@
             self._settings.link_address,
             self._incarnation,
             self.forwarder.dispatcher.count_queued(),
+            self.forwarder.dispatcher.count_queued_by_urgency(),
         )
 
     def _is_busy(self) -> bool:
--- a/packages/bambooring/src/bambooring/loads/loads.capnp
+++ b/packages/bambooring/src/bambooring/loads/loads.capnp
@@ -5,6 +5,7 @@
   waiting @1 :UInt32;
   gapMs @2 :UInt32;
   gapInstances @3 :UInt32;
+  waitingByUrgency @4 :List(UInt32);
 }
 
 struct DomainLoad {
--- a/packages/bambooring/src/bambooring/loads/messages.py
+++ b/packages/bambooring/src/bambooring/loads/messages.py
@@ -15,7 +15,9 @@
 class ServiceTotal:
     """What the entry instances of one failure domain report of a service.
 
-    ``waiting`` is the number of requests that wait there for a target.
+    ``waiting`` is the number of requests that wait there for a target,
+    ``waiting_by_urgency`` how many of them there are of each urgency, the most
+    urgent first; an instance that doesn't know urgencies leaves it empty.
     ``gap_ms`` is the mean gap between two events of the streams there, over
     the ``gap_instances`` instances that have streams.
     """
@@ -24,6 +26,7 @@
     waiting: int
     gap_ms: int = 0
     gap_instances: int = 0
+    waiting_by_urgency: list[int] = dataclasses.field(default_factory=list)
 
 
 @codec.register(SCHEMA, 175)
--- a/packages/bambooring/src/bambooring/loads/peers.py
+++ b/packages/bambooring/src/bambooring/loads/peers.py
@@ -8,6 +8,8 @@
 import dataclasses
 
 from bambooring.loads import const
+from bambooring.loads import waiting
+from bambooring.policy import urgency
 from bambooring.targets import messages as targets
 
 
@@ -39,11 +41,13 @@
 class PeerLoads:
     """Keep the last report of each other instance and the totals by target."""
 
-    __slots__ = ('_oldest_received_s', '_reports', '_totals')
+    __slots__ = ('_oldest_received_s', '_reports', '_totals', '_waiting')
 
     def __init__(self) -> None:
         self._reports: dict[str, _PeerReport] = {}
         self._totals: dict[str, RunningLoad] = {}
+        # By service: how many requests of each urgency wait.
+        self._waiting: dict[str, waiting.Counts] = {}
         # Lower bound of the time at which any kept report was received.
         self._oldest_received_s = float('inf')
 
@@ -70,8 +74,24 @@
             total = self._totals.setdefault(entry.target, RunningLoad())
             total.running += entry.running
             total.tokens += entry.tokens
+        for service_load in self._reports[load.sender].service_loads.values():
+            self._add_waiting(service_load, 1)
         return True
 
+    def _add_waiting(self, entry: targets.ServiceLoad, sign: int) -> None:
+        if entry.waiting:
+            waiting.add_counts(
+                self._waiting.setdefault(
+                    entry.service, [0] * urgency.CLASS_COUNT
+                ),
+                waiting.list_counts(entry),
+                sign,
+            )
+
+    def get_waiting(self, service: str) -> waiting.Counts | None:
+        """Return how many requests of each urgency wait elsewhere."""
+        return self._waiting.get(service)
+
     def _subtract_report(self, report: _PeerReport) -> None:
         for target_load in report.target_loads:
             total = self._totals.get(target_load.target)
@@ -81,6 +101,8 @@
             total.tokens -= target_load.tokens
             if not total.running and not total.tokens:
                 del self._totals[target_load.target]
+        for service_load in report.service_loads.values():
+            self._add_waiting(service_load, -1)
 
     def drop_reports(self, senders: collections.abc.Iterable[str]) -> None:
         """Drop the reports of some instances."""
--- a/packages/bambooring/src/bambooring/loads/state.py
+++ b/packages/bambooring/src/bambooring/loads/state.py
@@ -9,6 +9,7 @@
 from bambooring.loads import messages
 from bambooring.loads import peers
 from bambooring.loads import summaries
+from bambooring.loads import waiting
 from bambooring.targets import messages as targets
 
 
@@ -74,6 +75,14 @@
             total.waiting for total in remote
         )
 
+    def count_waiting_by_urgency(self, service: str) -> waiting.Counts:
+        """Return how many requests of each urgency wait elsewhere."""
+        total = waiting.sum_counts(self._remote.list_service_totals(service))
+        near = self._peers.get_waiting(service)
+        if near is not None:
+            waiting.add_counts(total, near)
+        return total
+
     def list_gaps_s(self, service: str) -> collections.abc.Iterator[float]:
         """Yield the mean gap that each other instance with streams has.
 
@@ -128,6 +137,9 @@
             waiting=sum(entry.waiting for entry in entries),
             gap_ms=round(sum(gaps_ms) / len(gaps_ms)) if gaps_ms else 0,
             gap_instances=len(gaps_ms),
+            waiting_by_urgency=waiting.sum_counts(entries)
+            if any(entry.waiting_by_urgency for entry in entries)
+            else [],
         )
 
     def get_domain_age_s(self, now_s: float) -> float:
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -24,6 +24,23 @@
 RESUMES = prometheus_client.Counter(
     'bambooring_resumes_total', 'Attempts resumed on a new link.'
 )
+UNSERVED = prometheus_client.Counter(
+    'bambooring_unserved_total',
+    'Requests without a response of a target where routes differ in priority,'
+    ' by urgency from 0, the most urgent, to 9.',
+    ['urgency'],
+)
+DISPATCH_WAIT_S = prometheus_client.Histogram(
+    'bambooring_dispatch_wait_seconds',
+    'Time from a request to its attempts where routes differ in priority, by'
+    ' urgency.',
+    ['urgency'],
+    buckets=(0.002, 0.02, 0.1, 0.25, 0.5, 1, 2, 5),
+)
+SLOTS_LEFT = prometheus_client.Counter(
+    'bambooring_slots_left_total',
+    'Times that free slots were left to more urgent requests elsewhere.',
+)
 EJECTIONS = prometheus_client.Counter(
     'bambooring_targets_passed_over_total',
     'Times that a target was sent no new requests for a while, by reason.',
--- a/packages/bambooring/src/bambooring/policy/state.py
+++ b/packages/bambooring/src/bambooring/policy/state.py
@@ -7,6 +7,7 @@
 
 from bambooring.policy import const
 from bambooring.policy import messages
+from bambooring.policy import urgency
 
 
 class PolicyStore:
@@ -75,7 +76,7 @@
 class PolicyTable:
     """Lookup tables for the routes, accounts and services of one policy."""
 
-    __slots__ = ('_accounts', '_routes', '_services', 'policy')
+    __slots__ = ('_accounts', '_routes', '_services', 'policy', 'urgencies')
 
     def __init__(self, policy: messages.Policy) -> None:
         self.policy = policy
@@ -86,6 +87,7 @@
             key: account for account in policy.accounts for key in account.keys
         }
         self._services = {service.name: service for service in policy.services}
+        self.urgencies = urgency.UrgencyTable(policy)
 
     @property
     def version(self) -> int:
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -133,14 +133,17 @@
 class ServiceLoad:
     """What one entry instance reports about a service.
 
-    ``waiting`` is the number of requests that wait there for a target.
-    ``gap_ms`` is the mean gap between two events of the streams there in the
-    last interval, 0 without streams.
+    ``waiting`` is the number of requests that wait there for a target,
+    ``waiting_by_urgency`` how many of them there are of each urgency, the most
+    urgent first, empty where the order doesn't depend on it. ``gap_ms`` is the
+    mean gap between two events of the streams there in the last interval, 0
+    without streams.
     """
 
     service: str
     waiting: int
     gap_ms: int = 0
+    waiting_by_urgency: list[int] = dataclasses.field(default_factory=list)
 
 
 @codec.register(SCHEMA, 172)
--- a/packages/bambooring/src/bambooring/targets/targets.capnp
+++ b/packages/bambooring/src/bambooring/targets/targets.capnp
@@ -59,6 +59,7 @@
   service @0 :Text;
   waiting @1 :UInt32;
   gapMs @2 :UInt32;
+  waitingByUrgency @3 :List(UInt32);
 }
 
 struct Load {
