Send requests to cold targets by permits of their agents

A cold target may get only so many requests in any second, from all entry instances together, whether or not they know of each other. The agent in the target's slot is the one process that all of them have in common.

The agent keeps a ledger of its grants and answers requests by datagram. A permit is valid for 0.25 s from when its request was sent, on the boot clock of the sender; with 0.1 s for the way to the target, the grants of any 1.35 s stay under the limit. An entry instance treats a cold target without a permit as no candidate, asks only for requests that wait or that a cold target would serve best, and checks the permit once more before the first byte is written, because connecting may take long if the machine is suspended.

A heartbeat with a smaller remainder is no change of a target any more: with 22 cold targets and 72 instances each heartbeat would be sent to all. A larger remainder or a warm target that is cold again is sent at once.

Ruled out: consuming the permit in choose(), which is also called to see whether a request could be sent; a limit on the sender's side only, which adds up over instances that don't know of each other.

--- /dev/null
+++ b/packages/agent/src/bambooring_agent/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for the target in the agent's slot."""
--- a/packages/agent/src/bambooring_agent/ranks/task.py
+++ b/packages/agent/src/bambooring_agent/ranks/task.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from bambooring_agent.permits import task as permits_task
 from bambooring_agent.ranks import calls
 from bambooring_agent.ranks import const
 from bambooring_agent.ranks import messages as agent_messages
@@ -32,7 +33,8 @@
 
     Polls the engine, reports its state and demand to the leading control
     replica, and forwards that replica's orders to the engine. Orders to ranks
-    whose own agents are silent are relayed to their engines.
+    whose own agents are silent are relayed to their engines. Hands out the
+    permits to send requests to the target while it is cold.
     """
 
     def __init__(
@@ -58,6 +60,9 @@
         self._hub = make_hub(
             reactor=reactor, identity=identity, key=settings.key, handler=self
         )
+        self._permit_issuer = permits_task.PermitIssuer(
+            reactor=reactor, address=settings.link_address, key=settings.key
+        )
         self._poll_connection = self._make_connection()
         self._attendances: dict[links.Link, messages.Attendance] = {}
         self._state: messages.RankState | None = None
@@ -71,14 +76,15 @@
 
     def run(self) -> None:
         """Run until stopped."""
-        with self._hub:
+        with self._hub, self._permit_issuer:
             self.set_up()
             LOG.info('agent runs', engine=self._settings.engine_address)
             self._reactor.run()
         LOG.info('agent stopped')
 
     def set_up(self) -> None:
-        """Start to connect to the control replicas and to poll the engine."""
+        """Open the permit port, connect to controls and poll the engine."""
+        self._permit_issuer.set_up()
         self.connect_seeds(self._settings.seeds)
         self._poll_state()
         self._reactor.call_every(
--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -64,3 +64,39 @@
 # durations, and the duration assumed before the first sample.
 DURATION_EWMA_WEIGHT: typing.Final = 0.05
 DEFAULT_DURATION_S: typing.Final = 0.5
+
+# How many times longer a cold target is assumed to take for a request, where
+# no lock-step group reports how slow it is.
+COLD_SLOWDOWN: typing.Final = 1.5
+
+# A target is treated as cold for this much longer than its announcement says.
+# More than ``targets.const.COLD_TOLERANCE_S``, by which a remainder may grow
+# without being announced again.
+COLD_MARGIN_S: typing.Final = 0.5
+
+# After a response said that a target is cold, an announcement that says it is
+# warm doesn't count for this long: it may have been sent before the response.
+COLD_STATEMENT_HOLD_S: typing.Final = 3.0
+
+# An instance that knew a target as warm has sent requests without permits. It
+# asks for permits once these don't count any more: after the second for which
+# the limit holds, and the time that a request may be under way.
+COLD_AGAIN_DELAY_S: typing.Final = 1.1
+
+# A permit is not used if it expires within this time: connecting to a target
+# in another failure domain would take longer.
+PERMIT_RESERVE_S: typing.Final = 0.01
+
+# One target is asked for permits no more often than this, and again without an
+# answer after the timeout. An agent that gave no answer several times in a row
+# is asked at the longer interval, and its target counts as no capacity.
+PERMIT_ASK_INTERVAL_S: typing.Final = 0.05
+PERMIT_ANSWER_TIMEOUT_S: typing.Final = 0.1
+UNANSWERED_ASKS_LIMIT: typing.Final = 3
+SILENT_AGENT_ASK_INTERVAL_S: typing.Final = 1.0
+
+# How many targets are asked at the same time.
+ASKED_TARGETS_MAX: typing.Final = 3
+
+# Runs that take no new work are forgotten if more runs than this are known.
+COLD_RUNS_MAX: typing.Final = 4096
--- a/packages/bambooring/src/bambooring/balancing/groups.py
+++ b/packages/bambooring/src/bambooring/balancing/groups.py
@@ -120,6 +120,10 @@
                 del self._slowdowns[group]
                 del self._slowdowns_received_s[group]
 
+    def has_slowdown(self, target: targets.Target) -> bool:
+        """Return whether the slowdown of a target is known."""
+        return target.rank < len(self._slowdowns.get(target.group, ()))
+
     def get_slowdown(self, target: targets.Target) -> float:
         """Return how many times longer a target takes than the fastest rank.
 
--- /dev/null
+++ b/packages/bambooring/src/bambooring/balancing/permits.py
@@ -0,0 +1,455 @@
+"""Send requests to cold targets only by permits of their agents.
+
+In any second no more than a limit of requests may arrive at a cold target,
+from all entry instances together. The agent in the target's slot hands out
+permits for them (``bambooring_agent.permits``). An instance asks only while it
+has requests that a cold target could serve, because a permit that isn't used
+is lost to all others.
+
+Two clocks are used. Permits expire on one that also advances while the machine
+is suspended (``clock``): a suspended instance must not use what it held. How
+long a target is cold is counted on the reactor's clock (``now_s``), which may
+be slower: a target may be treated as cold for too long, never too briefly.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+import random
+
+from bambooring.balancing import const
+from bambooring.balancing import runs as runs_module
+from bambooring.policy import messages as policy
+from bambooring.targets import messages as targets
+from bambooring_core import clock as clock_module
+from bambooring_core.permits import const as permits_const
+from bambooring_core.permits import messages
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Permit:
+    """The permit of one attempt; it expires at ``end_s`` of ``clock``."""
+
+    end_s: float
+    clock: clock_module.Clock
+
+    def is_valid(self) -> bool:
+        """Return whether the attempt's request may be sent now."""
+        return self.clock.now() < self.end_s
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _ColdRun:
+    """A run of a target that is cold until ``until_s``.
+
+    ``stated_s`` is when a response of the target last said that it is cold.
+    No permits are requested before ``ask_from_s``. ``awaited_sequence`` is
+    the request that has no answer yet, 0 for none; ``unanswered_count`` is
+    how many in a row had none. ``permit_ends_s`` are the times at which the
+    held permits expire, in rising order.
+    """
+
+    target: targets.Target
+    until_s: float
+    stated_s: float = -math.inf
+    ask_from_s: float = 0.0
+    asked_s: float = -math.inf
+    awaited_sequence: int = 0
+    unanswered_count: int = 0
+    permit_ends_s: list[float] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Ask:
+    """A request for permits, sent at ``sent_s`` of the permits' clock."""
+
+    run: runs_module.Run
+    wanted: int
+    sent_s: float
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Demand:
+    """Cold targets that could serve a request, the best one first.
+
+    ``is_blocked`` means that no other target could take the request.
+    """
+
+    targets: list[targets.Target]
+    is_blocked: bool
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ColdChange:
+    """A target that has become cold or warm, for the log."""
+
+    target: targets.Target
+    is_cold: bool
+    remaining_s: float
+
+
+def compute_limit(
+    service: policy.Service, overrun: float, slack: float
+) -> int:
+    """Return how many requests a cold target may get in any second.
+
+    :param service: the service
+    :param overrun: the factor of the service's rate
+    :param slack: the constant that is added
+    :returns: the limit, 0 for none
+    """
+    if not service.cold_requests_per_s or not overrun:
+        return 0
+    return math.floor(service.cold_requests_per_s * overrun + slack)
+
+
+class ColdTargets:
+    """Know the cold targets, and hold the permits of this instance.
+
+    ``on_demand`` is called when a request could use a permit. ``outcomes``
+    counts what became of requests for permits and of permits.
+    """
+
+    def __init__(
+        self, failure_domain: str, clock: clock_module.Clock | None = None
+    ) -> None:
+        self._failure_domain = failure_domain
+        self.clock = clock or clock_module.BootClock()
+        self.on_demand: collections.abc.Callable[[], None] | None = None
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self._changes: dict[runs_module.Run, ColdChange] = {}
+        self._limits: dict[str, int] = {}
+        self._cold_runs: dict[runs_module.Run, _ColdRun] = {}
+        self._warm_runs: set[runs_module.Run] = set()
+        self._next_end_s = math.inf
+        self._withheld: list[targets.Target] = []
+        self._demands: dict[str, _Demand] = {}
+        self._asks: dict[int, _Ask] = {}
+        self._sequence = 0
+
+    def set_limits(self, limits: collections.abc.Mapping[str, int]) -> None:
+        """Replace the limits; services without one need no permits.
+
+        :param limits: by service, how many requests a cold target may get in
+            any second; 0 for no limit
+        """
+        self._limits = {name: limit for name, limit in limits.items() if limit}
+
+    def set_known_runs(
+        self, runs: collections.abc.Container[runs_module.Run]
+    ) -> None:
+        """Forget runs that take no new work, if there are many of them."""
+        if len(self._cold_runs) + len(self._warm_runs) < const.COLD_RUNS_MAX:
+            return
+        self._warm_runs = {run for run in self._warm_runs if run in runs}
+        self._cold_runs = {
+            run: cold for run, cold in self._cold_runs.items() if run in runs
+        }
+
+    def record_announcement(
+        self, target: targets.Target, now_s: float
+    ) -> None:
+        """Record whether an announcement that has just arrived says cold."""
+        if target.cold_ms:
+            self._set_cold(target, target.cold_ms, now_s)
+            return
+        run = runs_module.get_run(target)
+        cold = self._cold_runs.get(run)
+        if cold is None:
+            self._warm_runs.add(run)
+        elif now_s - cold.stated_s > const.COLD_STATEMENT_HOLD_S:
+            self._set_warm(run)
+
+    def record_statement(
+        self, target: targets.Target, cold_ms: int, now_s: float
+    ) -> None:
+        """Record that a response of a target says that it is cold.
+
+        :param target: the target
+        :param cold_ms: for how long it is cold from when it responded
+        :param now_s: the current time in seconds
+        """
+        cold = self._set_cold(target, cold_ms, now_s)
+        cold.stated_s = now_s
+
+    def _set_cold(
+        self, target: targets.Target, cold_ms: int, now_s: float
+    ) -> _ColdRun:
+        run = runs_module.get_run(target)
+        until_s = now_s + cold_ms / 1000 + const.COLD_MARGIN_S
+        cold = self._cold_runs.get(run)
+        if cold is not None:
+            cold.until_s = max(cold.until_s, until_s)
+            return cold
+        cold = _ColdRun(target=target, until_s=until_s)
+        if run in self._warm_runs:
+            # Requests that were sent without a permit may still arrive, and
+            # they count within the same second.
+            cold.ask_from_s = now_s + const.COLD_AGAIN_DELAY_S
+            self._warm_runs.discard(run)
+        self._cold_runs[run] = cold
+        self._next_end_s = min(self._next_end_s, until_s)
+        self._changes[run] = ColdChange(
+            target=target, is_cold=True, remaining_s=until_s - now_s
+        )
+        return cold
+
+    def _set_warm(self, run: runs_module.Run) -> None:
+        cold = self._cold_runs.pop(run)
+        self.outcomes['expired'] += len(cold.permit_ends_s)
+        self._warm_runs.add(run)
+        self._changes[run] = ColdChange(
+            target=cold.target, is_cold=False, remaining_s=0.0
+        )
+
+    def update(self, now_s: float) -> None:
+        """End the cold time of targets for which it is over."""
+        if now_s < self._next_end_s:
+            return
+        for run, cold in list(self._cold_runs.items()):
+            if now_s >= cold.until_s:
+                self._set_warm(run)
+        self._next_end_s = min(
+            (cold.until_s for cold in self._cold_runs.values()),
+            default=math.inf,
+        )
+
+    def take_changes(self) -> list[ColdChange]:
+        """Return the targets that became cold or warm since the last call."""
+        changes = list(self._changes.values())
+        self._changes.clear()
+        return changes
+
+    def _get(self, target: targets.Target) -> _ColdRun | None:
+        """Return the state of a cold target whose service has a limit."""
+        if not self._cold_runs or target.service not in self._limits:
+            return None
+        return self._cold_runs.get(runs_module.get_run(target))
+
+    def is_cold(self, target: targets.Target) -> bool:
+        """Return whether requests to a target need permits."""
+        return self._get(target) is not None
+
+    def is_reachable(self, target: targets.Target) -> bool:
+        """Return whether a target is warm or its agent may grant permits."""
+        cold = self._get(target)
+        return (
+            cold is None
+            or cold.unanswered_count < const.UNANSWERED_ASKS_LIMIT
+            or bool(cold.permit_ends_s)
+        )
+
+    def withhold(
+        self, service: str, candidates: list[targets.Target]
+    ) -> list[targets.Target]:
+        """Return the candidates without the cold ones that lack a permit."""
+        self._withheld = []
+        if not self._cold_runs or service not in self._limits:
+            return candidates
+        boot_now_s = self.clock.now()
+        usable = []
+        for target in candidates:
+            cold = self._cold_runs.get(runs_module.get_run(target))
+            if cold is None or self._has_permit(cold, boot_now_s):
+                usable.append(target)
+            else:
+                self._withheld.append(target)
+        return usable
+
+    @property
+    def withheld(self) -> list[targets.Target]:
+        """Return what the last call of :meth:`withhold` left out."""
+        return self._withheld
+
+    def _has_permit(self, cold: _ColdRun, boot_now_s: float) -> bool:
+        """Drop the permits that are about to expire, and look for others."""
+        ends_s = cold.permit_ends_s
+        oldest_end_s = boot_now_s + const.PERMIT_RESERVE_S
+        while ends_s and ends_s[0] <= oldest_end_s:
+            ends_s.pop(0)
+            self.outcomes['expired'] += 1
+        return bool(ends_s)
+
+    def take_permit(self, target: targets.Target) -> Permit | None:
+        """Take a permit for an attempt that is started now.
+
+        :param target: the target of the attempt
+        :returns: the permit, None if the target needs none. If it needs one
+            and there is none, the permit has expired.
+        """
+        cold = self._get(target)
+        if cold is None:
+            return None
+        if not self._has_permit(cold, self.clock.now()):
+            return Permit(end_s=-math.inf, clock=self.clock)
+        self.outcomes['used'] += 1
+        return Permit(end_s=cold.permit_ends_s.pop(0), clock=self.clock)
+
+    def record_demand(
+        self,
+        service: str,
+        wanted_targets: list[targets.Target],
+        is_blocked: bool,
+    ) -> None:
+        """Record that a request could use a permit.
+
+        :param service: the service
+        :param wanted_targets: the cold targets without a permit that could
+            take the request, the best one first
+        :param is_blocked: whether no other target could take it
+        """
+        if not wanted_targets:
+            return
+        self._demands[service] = _Demand(
+            targets=wanted_targets, is_blocked=is_blocked
+        )
+        if self.on_demand is not None:
+            self.on_demand()
+
+    def make_requests(
+        self,
+        *,
+        sender: str,
+        incarnation: int,
+        queued: collections.abc.Mapping[str, int],
+        now_s: float,
+    ) -> list[tuple[targets.Target, messages.PermitRequest]]:
+        """Return the requests for permits that are due, by target.
+
+        They must be sent at once: permits are valid from now on.
+
+        :param sender: this instance's link address
+        :param incarnation: the number of this instance's run
+        :param queued: by service, how many requests wait here
+        :param now_s: the current time in seconds
+        """
+        boot_now_s = self.clock.now()
+        self._drop_old_asks(boot_now_s)
+        requests = []
+        for service, demand in self._demands.items():
+            limit = self._limits.get(service, 0)
+            needed = max(queued.get(service, 0), 1) if demand.is_blocked else 1
+            needed -= self._count_expected(service, boot_now_s)
+            for target in self._choose_asked(demand, needed, now_s):
+                wanted = min(needed, permits_const.MAX_WANTED)
+                needed -= wanted
+                self._record_ask(target, wanted, now_s, boot_now_s)
+                request = messages.PermitRequest(
+                    sender=sender,
+                    incarnation=incarnation,
+                    sequence=self._sequence,
+                    target_id=target.id,
+                    born_ms=target.born_ms,
+                    limit_per_s=min(limit, permits_const.MAX_LIMIT),
+                    wanted=wanted,
+                )
+                requests.append((target, request))
+        self._demands.clear()
+        return requests
+
+    def _drop_old_asks(self, boot_now_s: float) -> None:
+        sent_before_s = boot_now_s - permits_const.PERMIT_TTL_S
+        for sequence, ask in list(self._asks.items()):
+            if ask.sent_s <= sent_before_s:
+                del self._asks[sequence]
+
+    def _count_expected(self, service: str, boot_now_s: float) -> int:
+        """Return the permits for a service that are held or asked for."""
+        count = sum(
+            len(cold.permit_ends_s)
+            for cold in self._cold_runs.values()
+            if cold.target.service == service
+            and self._has_permit(cold, boot_now_s)
+        )
+        answer_by_s = boot_now_s - const.PERMIT_ANSWER_TIMEOUT_S
+        for ask in self._asks.values():
+            cold = self._cold_runs.get(ask.run)
+            if (
+                cold is not None
+                and cold.target.service == service
+                and ask.sent_s > answer_by_s
+            ):
+                count += ask.wanted
+        return count
+
+    def _choose_asked(
+        self, demand: _Demand, needed: int, now_s: float
+    ) -> list[targets.Target]:
+        """Return whom to ask, enough for the needed number of permits.
+
+        Targets in this instance's failure domain are asked first.
+        """
+        count = min(
+            math.ceil(needed / permits_const.MAX_WANTED),
+            const.ASKED_TARGETS_MAX,
+        )
+        if count <= 0:
+            return []
+        due = [
+            target
+            for target in demand.targets
+            if (cold := self._get(target)) is not None
+            and now_s >= cold.ask_from_s
+        ]
+        due.sort(
+            key=lambda target: target.failure_domain != self._failure_domain
+        )
+        return due[:count]
+
+    def _record_ask(
+        self,
+        target: targets.Target,
+        wanted: int,
+        now_s: float,
+        boot_now_s: float,
+    ) -> None:
+        run = runs_module.get_run(target)
+        cold = self._cold_runs[run]
+        if cold.awaited_sequence:
+            cold.unanswered_count += 1
+            self.outcomes['unanswered'] += 1
+        self._sequence += 1
+        cold.awaited_sequence = self._sequence
+        cold.asked_s = now_s
+        cold.ask_from_s = now_s + const.PERMIT_ANSWER_TIMEOUT_S
+        if cold.unanswered_count >= const.UNANSWERED_ASKS_LIMIT:
+            cold.ask_from_s = now_s + const.SILENT_AGENT_ASK_INTERVAL_S
+        self._asks[self._sequence] = _Ask(
+            run=run, wanted=wanted, sent_s=boot_now_s
+        )
+        self.outcomes['asked'] += wanted
+
+    def apply_grant(
+        self, grant: messages.PermitGrant, now_s: float, rng: random.Random
+    ) -> bool:
+        """Add the permits of a grant, unless it is repeated or late.
+
+        :param grant: a grant for this run of this instance
+        :param now_s: the current time in seconds
+        :param rng: spreads the next requests of the instances
+        :returns: whether there are new permits
+        """
+        ask = self._asks.pop(grant.sequence, None)
+        if ask is None or ask.run[0] != grant.target_id:
+            self.outcomes['foreign'] += 1
+            return False
+        cold = self._cold_runs.get(ask.run)
+        if cold is None:
+            self.outcomes['expired'] += grant.count
+            return False
+        cold.unanswered_count = 0
+        if cold.awaited_sequence == grant.sequence:
+            cold.awaited_sequence = 0
+            cold.ask_from_s = cold.asked_s + const.PERMIT_ASK_INTERVAL_S
+        count = min(grant.count, ask.wanted)
+        self.outcomes['refused'] += ask.wanted - count
+        if not count:
+            wait_s = rng.uniform(1.0, 1.5) * grant.wait_ms / 1000
+            cold.ask_from_s = max(cold.ask_from_s, now_s + wait_s)
+            return False
+        self.outcomes['granted'] += count
+        end_s = ask.sent_s + permits_const.PERMIT_TTL_S
+        cold.permit_ends_s += [end_s] * count
+        cold.permit_ends_s.sort()
+        return self._has_permit(cold, self.clock.now())
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -13,18 +13,24 @@
 import collections.abc
 import dataclasses
 import random
+import typing
 
 from bambooring.balancing import const
 from bambooring.balancing import groups as groups_module
 from bambooring.balancing import health as health_module
 from bambooring.balancing import leaving as leaving_module
 from bambooring.balancing import limit as limit_module
+from bambooring.balancing import permits as permits_module
 from bambooring.balancing import rests as rests_module
 from bambooring.balancing import runs as runs_module
 from bambooring.loads import peers as peers_module
 from bambooring.loads import state as loads_state
 from bambooring.targets import messages as targets
 from bambooring_core import bounds
+from bambooring_core import clock as clock_module
+
+# How targets are compared; the lowest is chosen.
+Score: typing.TypeAlias = tuple[float, int, bool, float]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -64,7 +70,12 @@
 class Balancer:
     """Choose targets by their load and health, as one instance knows them."""
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        boot_clock: clock_module.Clock | None = None,
+    ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._targets_by_service: dict[str, dict[str, targets.Target]] = {}
@@ -77,6 +88,7 @@
         self._groups = groups_module.GroupTracker()
         self.rests = rests_module.Rests()
         self.leaving = leaving_module.LeavingRuns()
+        self.cold = permits_module.ColdTargets(failure_domain, boot_clock)
         self._mean_durations_s: dict[str, float] = {}
         self._report_sequence = 0
 
@@ -103,6 +115,7 @@
         }
         self.rests.set_known_runs(known_runs)
         self.leaving.set_known_runs(known_runs)
+        self.cold.set_known_runs(known_runs)
 
     def has_target(self, target: targets.Target) -> bool:
         """Return whether a run of a target takes new work."""
@@ -145,6 +158,7 @@
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
+        self.cold.update(now_s)
         if self._is_backing_off(service, now_s):
             return None
         if not self._groups.may_send_request(service, now_s):
@@ -160,9 +174,14 @@
             for target in candidates
             if self._has_room(target, load := self._sum_load(target.id))
         ]
-        if not scored_candidates:
+        best_candidate = min(
+            scored_candidates, key=lambda item: item[:3], default=None
+        )
+        if self.cold.withheld:
+            self._request_permits(service, best_candidate)
+        if best_candidate is None:
             return None
-        *_, best = min(scored_candidates, key=lambda item: item[:3])
+        *_, best = best_candidate
         self._groups.record_request(service, now_s)
         return Choice(
             target=best,
@@ -181,7 +200,8 @@
 
         Ejecting all targets of a service would leave its callers without
         any answer, and the cause of the failures may be on this instance's
-        side. Targets that are excluded, busy or rest are left out either way.
+        side. Targets that are excluded, busy, rest or are cold and need a
+        permit are left out either way.
         """
         available = [
             target
@@ -195,11 +215,42 @@
             for candidate in available
             if self._health.is_healthy(candidate.id, now_s)
         ]
-        return healthy or available
+        return self.cold.withhold(service, healthy or available)
+
+    def _request_permits(
+        self,
+        service: str,
+        best_candidate: tuple[bool, bool, Score, targets.Target] | None,
+    ) -> None:
+        """Ask for permits if a cold target would be the best choice."""
+        scored_targets = [
+            (self._score(target, load), target)
+            for target in self.cold.withheld
+            if self._has_room(target, load := self._sum_load(target.id))
+        ]
+        if best_candidate is not None:
+            scored_targets = [
+                item for item in scored_targets if item[0] < best_candidate[2]
+            ]
+        scored_targets.sort(key=lambda item: item[0])
+        self.cold.record_demand(
+            service,
+            [target for _, target in scored_targets],
+            is_blocked=best_candidate is None,
+        )
+
+    def _get_slowdown(self, target: targets.Target) -> float:
+        """Return how many times longer than usual a target takes.
+
+        It is assumed for a cold target whose group doesn't report it.
+        """
+        if self.cold.is_cold(target) and not self._groups.has_slowdown(target):
+            return const.COLD_SLOWDOWN
+        return self._groups.get_slowdown(target)
 
     def _score(
         self, target: targets.Target, load: peers_module.RunningLoad
-    ) -> tuple[float, int, bool, float]:
+    ) -> Score:
         """Return the sort key of a target; the lowest is chosen.
 
         Between targets with the same load, those in this instance's failure
@@ -208,7 +259,7 @@
         running = load.running + 1
         slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
         return (
-            running * self._groups.get_slowdown(target) / slots,
+            running * self._get_slowdown(target) / slots,
             load.tokens,
             target.failure_domain != self._failure_domain,
             self._rng.random(),
@@ -236,7 +287,7 @@
         if limit is not None:
             max_running = min(max_running, limit.max_requests)
         running = load.running + 1
-        return running * self._groups.get_slowdown(target) <= max_running
+        return running * self._get_slowdown(target) <= max_running
 
     def update_slowdowns(
         self, group_paces: targets.GroupPaces, now_s: float
@@ -315,6 +366,7 @@
             for target in service_targets
             if self._health.is_healthy(target.id, now_s)
             and self.rests.may_send(target, now_s)
+            and self.cold.is_reachable(target)
         ]
         return ServiceCapacity(
             target_count=len(service_targets),
--- a/packages/bambooring/src/bambooring/forwarding/messages.py
+++ b/packages/bambooring/src/bambooring/forwarding/messages.py
@@ -59,7 +59,8 @@
     encoding. ``faulty_target`` names the target that made a model group fail,
     if the response says so. ``rest_s`` is the time in seconds, above 0, that
     the response asks to wait, None if it names none. ``is_leaving`` means that
-    the target says it is about to end.
+    the target says it is about to end. ``cold_ms`` is how long it says that it
+    is still cold, 0 if it doesn't.
     """
 
     status: int
@@ -73,6 +74,7 @@
     faulty_target: str
     rest_s: float | None
     is_leaving: bool
+    cold_ms: int = 0
 
     @property
     def asked_rest_s(self) -> float | None:
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -17,6 +17,7 @@
 from bambooring.forwarding import rejections
 from bambooring.forwarding import suspicions
 from bambooring import metrics
+from bambooring_core.http1 import errors as http1_errors
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server
 
@@ -416,7 +417,11 @@
             self.progress.may_have_run = True
         else:
             self.progress.refused_count += 1
-        self._forwarder.eject_target(attempt.target.id, failure)
+        if failure == http1_errors.Failure.NOT_WRITTEN:
+            # The permit expired here, which says nothing of the target.
+            self.tried_targets.discard(attempt.target.id)
+        else:
+            self._forwarder.eject_target(attempt.target.id, failure)
         if not may_be_crash:
             self._retry_after_failure()
             return
--- a/packages/bambooring/src/bambooring/forwarding/statements.py
+++ b/packages/bambooring/src/bambooring/forwarding/statements.py
@@ -1,8 +1,8 @@
 """Record what targets say of themselves in their responses.
 
-A target may ask for a rest, or say that it leaves, at the head of any response
-to an attempt. What a response of another request or of another target says is
-not recorded.
+A target may ask for a rest, or say that it leaves or is cold, at the head of
+any response to an attempt. What a response of another request or of another
+target says is not recorded.
 """
 
 import structlog
@@ -23,7 +23,7 @@
 
     :param attempt: the attempt, whose response is the target's own
     :param balancer: the balancer, which sends nothing to a target that rests
-        or leaves
+        or leaves, and to a cold one only by permits
     :param now_s: the current time in seconds
     """
     response = attempt.response
@@ -53,3 +53,5 @@
             status=response.status,
             request=attempt.attempt_id,
         )
+    if response.cold_ms:
+        balancer.cold.record_statement(attempt.target, response.cold_ms, now_s)
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -171,6 +171,9 @@
         headers = self._dialect.write_attempt_headers(
             pending.request, pending.make_attempt_metadata(choice.target.id)
         )
+        permit = self.balancer.cold.take_permit(choice.target)
+        if permit is not None:
+            attempt.call.may_write = permit.is_valid
         self.balancer.add_request(choice.target.id, attempt.unread_tokens)
         self.balancer.rests.record_request(
             choice.target, attempt.attempt_id, self.reactor.now()
--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -62,3 +62,7 @@
 # A control replica gives those of an entry instance's own failure domain this
 # long to send it a new policy before it sends one itself.
 POLICY_BACKUP_DELAY_S: typing.Final = 0.3
+
+# How often an entry instance logs which targets became cold or warm, one line
+# each at most, and counts what became of the permits it asked for.
+PERMIT_LOG_INTERVAL_S: typing.Final = 0.25
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -15,6 +15,7 @@
 from bambooring.forwarding import task as forwarding
 from bambooring.gateway import const
 from bambooring.gateway import messages as gateway
+from bambooring.gateway import permits as permits_task
 from bambooring.loads import exchange as exchange_module
 from bambooring.loads import task as loads_task
 from bambooring import metrics
@@ -68,7 +69,9 @@
             settings.revoke_s * const.LEASE_DURATION_SHARE
         )
         self._registry = targets_state.Registry(settings.heartbeat_s)
-        self._balancer = balancing.Balancer(settings.failure_domain, rng)
+        self._balancer = balancing.Balancer(
+            settings.failure_domain, rng, self._lease_clock
+        )
         self._budget = budget_module.RetryBudget(reactor.now())
         self._crash_guard = crashes_task.CrashGuard(
             reactor=reactor, send_news=self._send_crash_news
@@ -100,6 +103,14 @@
             is_busy=self._is_busy,
             handle_news=self._handle_load_news,
         )
+        self._permit_requester = permits_task.PermitRequester(
+            settings=settings,
+            reactor=reactor,
+            cold=self._balancer.cold,
+            incarnation=incarnation,
+            rng=rng,
+            dispatcher=self.forwarder.dispatcher,
+        )
         identity = identity_module.Identity(
             cluster=settings.cluster,
             instance=settings.instance,
@@ -152,6 +163,7 @@
             self._ready_server,
             self._caller_server,
             self._load_reporter,
+            self._permit_requester,
         ):
             self.set_up()
             LOG.info(
@@ -165,6 +177,7 @@
     def set_up(self) -> None:
         """Start to report load, connect and start the timers."""
         self._load_reporter.set_up()
+        self._permit_requester.set_up()
         self.connect_seeds(self._settings.seeds)
         self._reactor.call_every(
             const.LEASE_REQUEST_INTERVAL_S, self._request_lease
@@ -287,6 +300,7 @@
             )
             return
         self.forwarder.policy_table = policy_state.PolicyTable(decoded)
+        self._permit_requester.set_services(decoded.services)
         self._caller_server.limits = http1.Limits(
             max_header_bytes=decoded.limits.max_header_bytes,
             max_body_bytes=decoded.limits.max_body_bytes,
@@ -344,6 +358,7 @@
         for target_id in message.refreshed:
             self._registry.refresh(target_id, now_s)
         for target in changed:
+            self._balancer.cold.record_announcement(target, now_s)
             LOG.info(
                 'target known',
                 target=target.id,
@@ -353,6 +368,7 @@
                 born=target.born_ms,
                 sequence=target.sequence,
                 is_void=target.is_void,
+                cold_ms=target.cold_ms,
                 source=link.name,
             )
         if changed:
--- a/packages/bambooring/src/bambooring/gateway/registrar.py
+++ b/packages/bambooring/src/bambooring/gateway/registrar.py
@@ -218,7 +218,7 @@
         """Send every known target to a newly linked instance."""
         link.send(
             messages.Announced(
-                targets=self._registry.list_all(),
+                targets=self._registry.list_all(self._reactor.now()),
                 refreshed=[],
                 confirmation=0,
             )
@@ -249,6 +249,7 @@
         born=target.born_ms,
         sequence=target.sequence,
         group_epoch=target.group_epoch,
+        cold_ms=target.cold_ms,
         is_void=target.is_void,
         source=source,
     )
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -115,3 +115,14 @@
 IS_LEADER = prometheus_client.Gauge(
     'bambooring_is_leader', '1 while this replica is the leader.'
 )
+PERMITS = prometheus_client.Counter(
+    'bambooring_permits_total',
+    'Permits to send to cold targets: asked for, granted, refused, used and '
+    'expired; and requests for them without an answer.',
+    ['outcome'],
+)
+UNSENT_PERMIT_REQUESTS = prometheus_client.Counter(
+    'bambooring_permit_requests_unsent_total',
+    'Requests for permits that could not be sent, by error number.',
+    ['reason'],
+)
--- a/packages/bambooring/src/bambooring/targets/state.py
+++ b/packages/bambooring/src/bambooring/targets/state.py
@@ -16,6 +16,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 
 from bambooring.targets import const
 from bambooring.targets import messages
@@ -41,11 +42,13 @@
 
     An expired record is one whose heartbeats are missing. It is kept for a
     while, but its target gets no new work until it is announced again.
+    ``cold_until_s`` is the end of the cold time that the last change implied.
     """
 
     target: messages.Target
     last_seen_s: float
     is_expired: bool = False
+    cold_until_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -87,14 +90,19 @@
         record = self._records.get(target_id)
         return record.target if record else None
 
-    def list_all(self) -> list[messages.Target]:
+    def list_all(self, now_s: float | None = None) -> list[messages.Target]:
         """Return all known targets, including expired and gone ones.
 
         Void ones come first, so that those which they would replace aren't
         stale where all are applied in this order.
+
+        :param now_s: the current time in seconds, at which what is left of
+            the targets' cold time is returned; None for what they announced
         """
         records = [*self._void_runs.values(), *self._records.values()]
-        return [record.target for record in records]
+        if now_s is None:
+            return [record.target for record in records]
+        return [_count_down(record, now_s) for record in records]
 
     def find_rank(self, group: str, rank: int) -> messages.Target | None:
         """Return the target that announced itself last as a group's rank.
@@ -152,14 +160,23 @@
         if record is not None and not _is_newer(target, record.target):
             return AnnouncementResult.STALE
         self._void_runs.pop(key, None)
-        self._records[target.id] = _Record(target=target, last_seen_s=now_s)
+        renewed = _Record(
+            target=target,
+            last_seen_s=now_s,
+            cold_until_s=now_s + target.cold_ms / 1000,
+        )
+        self._records[target.id] = renewed
         if record is not None and record.target.address != target.address:
             self._update_newest_run(record.target.address)
         self._newest_runs[target.address] = (target.born_ms, target.id)
         is_newest = newest == (target.born_ms, target.id)
         if record is None or record.is_expired or not is_newest:
             return AnnouncementResult.CHANGED
-        if _is_unchanged(target, record.target):
+        if _is_unchanged(target, record.target) and _is_as_cold(
+            renewed, record, now_s
+        ):
+            # Later announcements are compared with what the instances know.
+            renewed.cold_until_s = record.cold_until_s
             return AnnouncementResult.REFRESHED
         return AnnouncementResult.CHANGED
 
@@ -345,6 +362,21 @@
     return target.id, target.born_ms
 
 
+def _count_down(record: _Record, now_s: float) -> messages.Target:
+    """Return a target with what is left of its cold time.
+
+    It stays above 0 until the target has announced that it is warm: those who
+    are told add a margin for what the tolerance left out.
+    """
+    target = record.target
+    if not target.cold_ms:
+        return target
+    remaining_ms = math.ceil((record.cold_until_s - now_s) * 1000)
+    return dataclasses.replace(
+        target, cold_ms=min(max(remaining_ms, 1), target.cold_ms)
+    )
+
+
 def _is_newer(target: messages.Target, known: messages.Target) -> bool:
     """Return whether an announcement is newer than the known one.
 
@@ -368,5 +400,30 @@
 
 
 def _is_unchanged(target: messages.Target, known: messages.Target) -> bool:
-    """Return whether two announcements differ in their sequence only."""
-    return dataclasses.replace(known, sequence=target.sequence) == target
+    """Return whether two announcements differ in what changes always.
+
+    These are their sequence, and how long the target is still cold.
+    """
+    return (
+        dataclasses.replace(
+            known, sequence=target.sequence, cold_ms=target.cold_ms
+        )
+        == target
+    )
+
+
+def _is_as_cold(renewed: _Record, known: _Record, now_s: float) -> bool:
+    """Return whether the instances may go on with the known cold time.
+
+    A cold target announces a smaller remainder with each heartbeat. That is
+    no change: all instances count it down. They must be told if it ends later
+    than they know, which also is so for a warm target that is cold again, or
+    if it is over early. An earlier end of another kind only keeps the target
+    from work for longer, and would be announced again and again.
+    """
+    tolerance_s = const.COLD_TOLERANCE_S
+    if not renewed.target.cold_ms:
+        return known.cold_until_s <= now_s + tolerance_s
+    if not known.target.cold_ms:
+        return False
+    return renewed.cold_until_s <= known.cold_until_s + tolerance_s
--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -73,6 +73,8 @@
         self.is_open = True
         # Whether any byte of the request may have been sent.
         self.may_have_sent = False
+        # If set, is asked just before the first byte is written.
+        self.may_write: collections.abc.Callable[[], bool] | None = None
 
     def send(
         self,
@@ -154,6 +156,9 @@
             return
         self._is_connecting = False
         self._timer.cancel()
+        if self.may_write is not None and not self.may_write():
+            self._fail(errors.Failure.NOT_WRITTEN)
+            return
         self._flush()
 
     def _flush(self) -> None:
--- a/packages/core/src/bambooring_core/http1/errors.py
+++ b/packages/core/src/bambooring_core/http1/errors.py
@@ -10,13 +10,17 @@
 
 
 class Failure(enum.StrEnum):
-    """The reason why a call to a server has no complete response."""
+    """The reason why a call to a server has no complete response.
+
+    NOT_WRITTEN means that the caller of the client forbade it once connected.
+    """
 
     CONNECT = 'connect_failed'
     CONNECT_TIMEOUT = 'connect_timeout'
     RESET = 'reset'
     CLOSED_EARLY = 'closed_early'
     MALFORMED = 'malformed'
+    NOT_WRITTEN = 'not_written'
 
 
 class RequestError(Http1Error):
--- /dev/null
+++ b/packages/core/src/bambooring_core/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits to send requests to a cold target."""
