--- a/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
@@ -23,7 +23,7 @@
 
 def _make_balancer(*, known=(), **changes):
     """Return a balancer with a target in each of three failure domains."""
-    balancer = state.Balancer('a', random.Random(1), known)
+    balancer = state.Balancer('a', random.Random(1), known_domains=known)
     balancer.set_targets(
         _make_target(f'in-{domain}', domain, **changes) for domain in 'abc'
     )
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -178,6 +178,9 @@
         headers = self._dialect.write_attempt_headers(
             pending.request, pending.make_attempt_metadata(choice.target.id)
         )
+        permit = self.balancer.cold.take_permit(choice.target)
+        if permit is not None:
+            attempt.call.may_write = permit.is_valid
         self.balancer.add_request(choice.target.id, attempt.unread_tokens)
         self.balancer.rests.record_request(
             choice.target, attempt.attempt_id, self.reactor.now()
@@ -190,6 +193,7 @@
             target_born=choice.target.born_ms,
             running=choice.running,
             candidates=choice.candidate_count,
+            is_cold=permit is not None,
             parts=pending.request.prompt_parts[: const.MAX_LOGGED_PARTS],
             report_age_ms=round(choice.oldest_report_age_s * 1000),
             urgency=pending.standing.urgency if pending.standing else None,
