Share the health of targets among entry instances

Cause: each entry instance learned by itself that a target fails what it gets. A target that fails requests at once looks idle and draws more: 7 of 72 such targets failed 139 requests in 6 s at 30 instances.

Change (with Settings.shares_health only): load reports list the runs of targets that the sender suspects, summaries the number of instances of a domain that suspect one. A target is ejected by others' word if at least two others suspect it, never more than a third of a service's targets and none of a failure domain of which more than half are suspected. The word of an instance that suspects more than that is withheld and not believed. While a target is ejected so, two instances probe it with one request at a time, one in its own failure domain and one elsewhere; a complete response to a request sent after the suspicion was known withdraws it everywhere. A returning target's score has a penalty that decays by half each second.

Weighed: believing single words (one broken instance ejects targets for all), ejecting all but one of a suspected domain (a cut between two domains looks the same), and keying by target id (old news hits a new run).

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -64,3 +64,28 @@
 # durations, and the duration assumed before the first sample.
 DURATION_EWMA_WEIGHT: typing.Final = 0.05
 DEFAULT_DURATION_S: typing.Final = 0.5
+
+# A target is ejected by others' word if this many other instances suspect it.
+MIN_SUSPECTING_INSTANCES: typing.Final = 2
+
+# A target that refuses this many requests of an instance in a row though it
+# has room is suspected. One may have been full with what wasn't reported yet.
+IDLE_REFUSALS_THRESHOLD: typing.Final = 3
+
+# How long after its last failure a target is suspected without a complete
+# response. Longer than the longest ejection, so that the two instances that
+# probe a failing target keep up the suspicion for all others.
+SUSPICION_TTL_S: typing.Final = 6.0
+
+# How long others' word against a target counts for nothing after it completed
+# a response. Longer than load reports live.
+SOUND_RETENTION_S: typing.Final = 2.0
+
+# What is added to the load per slot of a target that returns, as if all its
+# slots were taken, and how fast it decays.
+RETURN_PENALTY: typing.Final = 1.0
+RETURN_PENALTY_HALF_LIFE_S: typing.Final = 1.0
+RETURN_PENALTY_END_S: typing.Final = 5.0
+
+# Changes of ejections by others' word that are kept until they are logged.
+MAX_HEALTH_CHANGES: typing.Final = 64
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -19,6 +19,7 @@
 from bambooring.balancing import health as health_module
 from bambooring.balancing import leaving as leaving_module
 from bambooring.balancing import limit as limit_module
+from bambooring.balancing import peer_health as peer_health_module
 from bambooring.balancing import rests as rests_module
 from bambooring.balancing import runs as runs_module
 from bambooring.loads import peers as peers_module
@@ -64,13 +65,25 @@
 class Balancer:
     """Choose targets by their load and health, as one instance knows them."""
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        *,
+        own_address: str = '',
+        shares_health: bool = False,
+    ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._targets_by_service: dict[str, dict[str, targets.Target]] = {}
         self._own_loads: dict[str, peers_module.RunningLoad] = {}
         self._health = health_module.HealthTracker()
         self.loads = loads_state.ClusterLoads()
+        self.peer_health: peer_health_module.PeerHealth | None = None
+        if shares_health:
+            self.peer_health = peer_health_module.PeerHealth(
+                own_address, failure_domain, self.loads.suspicions
+            )
         self._limits_by_service: dict[str, limit_module.ConcurrencyLimit] = {}
         self._consecutive_refusals: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
@@ -90,6 +103,10 @@
         self._targets_by_service = by_service
         for service in self._groups.update_broken_groups(by_service):
             self._get_limit(service).restart()
+            if self.peer_health is not None:
+                self.peer_health.forget_service(service)
+        if self.peer_health is not None:
+            self.peer_health.set_targets(by_service)
         known_ids = {
             target_id
             for service_targets in by_service.values()
@@ -145,6 +162,8 @@
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
+        if self.peer_health is not None:
+            self.peer_health.refresh(now_s)
         if self._is_backing_off(service, now_s):
             return None
         if not self._groups.may_send_request(service, now_s):
@@ -152,7 +171,7 @@
         candidates = self._list_candidates(service, now_s, excluded_ids)
         scored_candidates = [
             (
-                not may_probe and self.rests.may_wait_for_probe(target, now_s),
+                not may_probe and self._may_be_put_off(target, now_s),
                 prefers_serving and not self._serves_with_room(target, load),
                 self._score(target, load),
                 target,
@@ -193,10 +212,26 @@
         healthy = [
             candidate
             for candidate in available
-            if self._health.is_healthy(candidate.id, now_s)
+            if self._is_healthy(candidate, now_s)
         ]
         return healthy or available
 
+    def _is_healthy(self, target: targets.Target, now_s: float) -> bool:
+        """Return whether neither this instance nor others' word ejects it."""
+        if not self._health.is_healthy(target.id, now_s):
+            return False
+        return self.peer_health is None or not self.peer_health.is_ejected(
+            target, is_used=target.id in self._own_loads
+        )
+
+    def _may_be_put_off(self, target: targets.Target, now_s: float) -> bool:
+        """Return whether a target is left to requests that may probe."""
+        if self.rests.may_wait_for_probe(target, now_s):
+            return True
+        return self.peer_health is not None and self.peer_health.is_suspected(
+            target
+        )
+
     def _score(
         self, target: targets.Target, load: peers_module.RunningLoad
     ) -> tuple[float, int, bool, float]:
@@ -207,8 +242,11 @@
         """
         running = load.running + 1
         slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+        per_slot = running * self._groups.get_slowdown(target) / slots
+        if self.peer_health is not None:
+            per_slot += self.peer_health.get_penalty(target)
         return (
-            running * self._groups.get_slowdown(target) / slots,
+            per_slot,
             load.tokens,
             target.failure_domain != self._failure_domain,
             self._rng.random(),
@@ -313,7 +351,7 @@
         usable = [
             target
             for target in service_targets
-            if self._health.is_healthy(target.id, now_s)
+            if self._is_healthy(target, now_s)
             and self.rests.may_send(target, now_s)
         ]
         return ServiceCapacity(
@@ -385,8 +423,19 @@
         if not load.running:
             del self._own_loads[target_id]
 
+    def _find_target(self, target_id: str) -> targets.Target | None:
+        """Return the run that takes new work under an id."""
+        for service_targets in self._targets_by_service.values():
+            if target_id in service_targets:
+                return service_targets[target_id]
+        return None
+
     def record_success(
-        self, target_id: str, service: str, duration_s: float
+        self,
+        target_id: str,
+        service: str,
+        duration_s: float,
+        now_s: float = 0.0,
     ) -> None:
         """Record a complete response; the target is healthy again.
 
@@ -394,8 +443,12 @@
         :param service: its service
         :param duration_s: the time from sending the request to the end of
             the response, in seconds
+        :param now_s: the current time in seconds, used for shared health only
         """
         self._health.record_success(target_id)
+        target = self._find_target(target_id)
+        if self.peer_health is not None and target is not None:
+            self.peer_health.record_success(target, now_s - duration_s, now_s)
         mean_s = self._mean_durations_s.get(service, duration_s)
         mean_s += const.DURATION_EWMA_WEIGHT * (duration_s - mean_s)
         self._mean_durations_s[service] = mean_s
@@ -441,6 +494,13 @@
             )
             self._backoff_until_s[service] = now_s + backoff_s
         self._health.record_busy(target_id, now_s)
+        target = self._find_target(target_id)
+        if self.peer_health is None or target is None:
+            return
+        slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+        has_room = self.count_running(target_id) < slots
+        if has_room and not self.is_group_broken(service):
+            self.peer_health.record_refusal(target, now_s)
 
     def record_server_error(self, target_id: str) -> bool:
         """Record a server error in a response of a target.
@@ -458,7 +518,40 @@
         :param now_s: the current time in seconds
         :returns: for how long it is ejected, in seconds
         """
-        return self._health.record_failure(target_id, now_s)
+        ejection_s = self._health.record_failure(target_id, now_s)
+        target = self._find_target(target_id)
+        if self.peer_health is not None and target is not None:
+            if not self.is_group_broken(target.service):
+                self.peer_health.record_failure(target, ejection_s, now_s)
+        return ejection_s
+
+    def set_instances(
+        self, domains_by_address: collections.abc.Mapping[str, str]
+    ) -> None:
+        """Replace the other entry instances.
+
+        :param domains_by_address: the failure domain of each link address
+        """
+        if self.peer_health is not None:
+            self.peer_health.set_instances(domains_by_address)
+
+    def refresh_health(
+        self, now_s: float
+    ) -> list[peer_health_module.HealthChange]:
+        """Return how others' word changed since the last call.
+
+        :param now_s: the current time in seconds
+        """
+        if self.peer_health is None:
+            return []
+        self.loads.expire(now_s)
+        self.peer_health.refresh(now_s)
+        return self.peer_health.take_changes()
+
+    @property
+    def has_health_news(self) -> bool:
+        """Return whether the load report has anything about health."""
+        return self.peer_health is not None and self.peer_health.has_news
 
     @property
     def has_running_requests(self) -> bool:
@@ -499,4 +592,7 @@
                 )
                 for name in waiting.keys() | self._limits_by_service.keys()
             ],
+            suspicions=self.peer_health.list_suspicions()
+            if self.peer_health is not None
+            else [],
         )
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -367,9 +367,9 @@
         return self._claim_retry('server_error')
 
     def _record_success(self, attempt: attempt_module.Attempt) -> None:
-        duration_s = self._forwarder.reactor.now() - attempt.began_s
+        now_s = self._forwarder.reactor.now()
         self._forwarder.balancer.record_success(
-            attempt.target.id, self.service, duration_s
+            attempt.target.id, self.service, now_s - attempt.began_s, now_s
         )
 
     def _complete_response(
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -244,6 +244,8 @@
         :param reason: the failure, as a label for logs and metrics
         """
         pause_s = self.balancer.record_failure(target_id, self.reactor.now())
+        if self.balancer.peer_health is not None:
+            self.report_load()
         metrics.EJECTIONS.labels(reason=reason).inc()
         LOG.info(
             'target passed over',
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -13,6 +13,7 @@
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.forwarding import messages as forwarding_messages
 from bambooring.forwarding import task as forwarding
+from bambooring.gateway import beliefs
 from bambooring.gateway import const
 from bambooring.gateway import messages as gateway
 from bambooring.loads import exchange as exchange_module
@@ -68,7 +69,12 @@
             settings.revoke_s * const.LEASE_DURATION_SHARE
         )
         self._registry = targets_state.Registry(settings.heartbeat_s)
-        self._balancer = balancing.Balancer(settings.failure_domain, rng)
+        self._balancer = balancing.Balancer(
+            settings.failure_domain,
+            rng,
+            own_address=settings.link_address,
+            shares_health=settings.shares_health,
+        )
         self._budget = budget_module.RetryBudget(reactor.now())
         self._crash_guard = crashes_task.CrashGuard(
             reactor=reactor, send_news=self._send_crash_news
@@ -398,6 +404,7 @@
         if entries != self._peer_domains:
             self._peer_domains = entries
             self._load_reporter.set_instances(entries)
+            self._balancer.set_instances(entries)
         self._set_retry_budget(len(entries) + 1)
         linked = {
             peer.dialled_address
@@ -426,6 +433,9 @@
         )
 
     def _adjust_limits(self) -> None:
+        beliefs.log_health_changes(
+            self._balancer.refresh_health(self._reactor.now())
+        )
         limits = self._balancer.adjust_limits()
         if limits != self._logged_limits:
             for service, limit in limits.items():
@@ -450,6 +460,7 @@
     def _is_busy(self) -> bool:
         return (
             self._balancer.has_running_requests
+            or self._balancer.has_health_news
             or self.forwarder.pending_count > 0
         )
 
--- a/packages/bambooring/src/bambooring/loads/const.py
+++ b/packages/bambooring/src/bambooring/loads/const.py
@@ -35,3 +35,12 @@
 FIRST_FULL_SUMMARIES: typing.Final = 3
 
 MAX_CACHED_KEYS: typing.Final = 8192
+
+# Suspected targets that one report or summary lists, so that its size stays
+# bounded. A report of 64 has about 2 kB.
+MAX_SUSPICIONS: typing.Final = 64
+
+# An instance that suspects more of a service's targets, or of those in one
+# failure domain, is probably cut off from them or broken itself.
+MAX_SUSPECTED_SHARE: typing.Final = 1 / 3
+MAX_SUSPECTED_DOMAIN_SHARE: typing.Final = 1 / 2
--- a/packages/bambooring/src/bambooring/loads/exchange.py
+++ b/packages/bambooring/src/bambooring/loads/exchange.py
@@ -195,10 +195,15 @@
         if not was_relay:
             self._writer.restart()
         self._sequence += 1
-        loads, totals = self._loads.sum_domain(make_report(), now_s)
+        report = make_report()
+        loads, totals = self._loads.sum_domain(report, now_s)
         summary = self._writer.write(
             loads, totals, self._loads.get_domain_age_s(now_s)
         )
+        suspicions = self._loads.suspicions.sum_domain(report)
+        summary.suspect_keys = list(suspicions.counts)
+        summary.suspect_counts = list(suspicions.counts.values())
+        summary.sound_keys = list(suspicions.sound_keys)
         relayed = messages.RelayedLoads(
             sender=self._own_address,
             incarnation=self._incarnation,
--- a/packages/bambooring/src/bambooring/loads/loads.capnp
+++ b/packages/bambooring/src/bambooring/loads/loads.capnp
@@ -18,6 +18,9 @@
   running @7 :List(UInt32);
   tokens @8 :List(UInt32);
   services @9 :List(ServiceTotal);
+  suspectKeys @10 :List(UInt32);
+  suspectCounts @11 :List(UInt32);
+  soundKeys @12 :List(UInt32);
 }
 
 struct RelayedLoads {
--- a/packages/bambooring/src/bambooring/loads/messages.py
+++ b/packages/bambooring/src/bambooring/loads/messages.py
@@ -37,6 +37,11 @@
     target with load; the others have those that changed lately, with 0
     running requests where there is no load any more. ``age_ms`` is the age of
     the oldest report that it sums up.
+
+    Each summary has all runs of targets that instances of the domain suspect:
+    ``suspect_keys`` and ``suspect_counts`` are columns with the run and the
+    number of instances that suspect it. ``sound_keys`` are suspected runs that
+    completed a response lately.
     """
 
     failure_domain: str
@@ -49,6 +54,9 @@
     running: list[int]
     tokens: list[int]
     services: list[ServiceTotal]
+    suspect_keys: list[int] = dataclasses.field(default_factory=list)
+    suspect_counts: list[int] = dataclasses.field(default_factory=list)
+    sound_keys: list[int] = dataclasses.field(default_factory=list)
 
 
 @codec.register(SCHEMA, 176)
--- a/packages/bambooring/src/bambooring/loads/state.py
+++ b/packages/bambooring/src/bambooring/loads/state.py
@@ -9,40 +9,51 @@
 from bambooring.loads import messages
 from bambooring.loads import peers
 from bambooring.loads import summaries
+from bambooring.loads import suspicions as suspicions_module
 from bambooring.targets import messages as targets
 
 
 class ClusterLoads:
     """Keep the newest reports and summaries, and the totals by target."""
 
-    __slots__ = ('_peers', '_remote')
+    __slots__ = ('_peers', '_remote', 'suspicions')
 
     def __init__(self) -> None:
         self._peers = peers.PeerLoads()
         self._remote = summaries.RemoteLoads()
+        self.suspicions = suspicions_module.SuspicionTable()
 
     def add_report(self, load: targets.Load, now_s: float) -> bool:
         """Store a report of an instance of the own failure domain.
 
         :returns: False if one as new or newer of its sender came first
         """
-        return self._peers.add_report(load, now_s)
+        is_new = self._peers.add_report(load, now_s)
+        if is_new:
+            self.suspicions.set_report(load, now_s)
+        return is_new
 
     def drop_reports(self, senders: collections.abc.Iterable[str]) -> None:
         """Drop the reports of instances that a summary covers from now on."""
+        senders = list(senders)
         self._peers.drop_reports(senders)
+        self.suspicions.drop_reports(senders)
 
     def add_summary(self, summary: messages.DomainLoad, now_s: float) -> bool:
         """Store a summary of another failure domain.
 
         :returns: False if it is not newer than what is known
         """
-        return self._remote.apply(summary, now_s)
+        is_new = self._remote.apply(summary, now_s)
+        if is_new:
+            self.suspicions.set_summary(summary, now_s)
+        return is_new
 
     def expire(self, now_s: float) -> None:
         """Drop the reports and summaries that are older than their TTL."""
         self._peers.expire_reports(now_s)
         self._remote.expire(now_s)
+        self.suspicions.expire(now_s)
 
     def get_load(self, target_id: str) -> peers.RunningLoad:
         """Return what the other instances have running at a target."""
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -29,6 +29,12 @@
     'Times that a target was sent no new requests for a while, by reason.',
     ['reason'],
 )
+PEER_EJECTIONS = prometheus_client.Counter(
+    'bambooring_targets_suspected_total',
+    'Times that the word of other instances ejected a target, or let it '
+    'return, by effect.',
+    ['effect'],
+)
 TARGET_RESTS = prometheus_client.Counter(
     'bambooring_target_rests_total',
     'Responses by which a target asked for a rest.',
--- a/packages/bambooring/src/bambooring/targets/messages.py
+++ b/packages/bambooring/src/bambooring/targets/messages.py
@@ -143,6 +143,23 @@
     gap_ms: int = 0
 
 
+@codec.register(SCHEMA)
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Suspicion:
+    """A run of a target that one entry instance suspects of failing.
+
+    ``failures`` is the number of consecutive failures that the instance saw.
+    It is 0 for a withdrawal: the run completed a response while others
+    suspected it. ``is_refusing`` is true if the target refused requests
+    although it had room, false if it failed them.
+    """
+
+    target: str
+    born_ms: int
+    failures: int
+    is_refusing: bool = False
+
+
 @codec.register(SCHEMA, 172)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Load:
@@ -150,7 +167,8 @@
 
     It is sent as a datagram within the failure domain. Each report is
     complete, so that the next one makes up for a lost one. ``sender`` is the
-    instance's link address.
+    instance's link address. ``suspicions`` is empty unless instances share
+    the health of targets.
     """
 
     sender: str
@@ -158,3 +176,4 @@
     sequence: int
     targets: list[TargetLoad]
     services: list[ServiceLoad]
+    suspicions: list[Suspicion] = dataclasses.field(default_factory=list)
--- a/packages/bambooring/src/bambooring/targets/targets.capnp
+++ b/packages/bambooring/src/bambooring/targets/targets.capnp
@@ -61,10 +61,18 @@
   gapMs @2 :UInt32;
 }
 
+struct Suspicion {
+  target @0 :Text;
+  bornMs @1 :UInt64;
+  failures @2 :UInt32;
+  isRefusing @3 :Bool;
+}
+
 struct Load {
   sender @0 :Text;
   incarnation @1 :UInt64;
   sequence @2 :UInt64;
   targets @3 :List(TargetLoad);
   services @4 :List(ServiceLoad);
+  suspicions @5 :List(Suspicion);
 }
