--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -110,3 +110,27 @@
 
 # Runs that take no new work are forgotten if more runs than this are known.
 COLD_RUNS_MAX: typing.Final = 4096
+# A target is ejected by others' word if this many other instances suspect it.
+MIN_SUSPECTING_INSTANCES: typing.Final = 2
+
+# A target that refuses this many requests of an instance in a row though it
+# has room is suspected. One may have been full with what wasn't reported yet.
+IDLE_REFUSALS_THRESHOLD: typing.Final = 3
+
+# How long after its last failure a target is suspected without a complete
+# response. Longer than the longest ejection, so that the two instances that
+# probe a failing target keep up the suspicion for all others.
+SUSPICION_TTL_S: typing.Final = 6.0
+
+# How long others' word against a target counts for nothing after it completed
+# a response. Longer than load reports live.
+SOUND_RETENTION_S: typing.Final = 2.0
+
+# What is added to the load per slot of a target that returns, as if all its
+# slots were taken, and how fast it decays.
+RETURN_PENALTY: typing.Final = 1.0
+RETURN_PENALTY_HALF_LIFE_S: typing.Final = 1.0
+RETURN_PENALTY_END_S: typing.Final = 5.0
+
+# Changes of ejections by others' word that are kept until they are logged.
+MAX_HEALTH_CHANGES: typing.Final = 64
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -15,6 +15,7 @@
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.forwarding import messages as forwarding_messages
 from bambooring.forwarding import task as forwarding
+from bambooring.gateway import beliefs
 from bambooring.gateway import const
 from bambooring.gateway import messages as gateway
 from bambooring.gateway import permits as permits_task
@@ -77,6 +78,8 @@
             rng,
             known_domains=settings.regions_by_domain,
             boot_clock=self._lease_clock,
+            own_address=settings.link_address,
+            shares_health=settings.shares_health,
         )
         self._evacuations = evacuation_task.EvacuationReceiver(
             self._evacuate_domains
@@ -436,6 +439,7 @@
         if entries != self._peer_domains:
             self._peer_domains = entries
             self._load_reporter.set_instances(entries)
+            self._balancer.set_instances(entries)
         self._set_retry_budget(len(entries) + 1)
         linked = {
             peer.dialled_address
@@ -464,6 +468,9 @@
         )
 
     def _adjust_limits(self) -> None:
+        beliefs.log_health_changes(
+            self._balancer.refresh_health(self._reactor.now())
+        )
         limits = self._balancer.adjust_limits()
         if limits != self._logged_limits:
             for service, limit in limits.items():
@@ -489,6 +496,7 @@
     def _is_busy(self) -> bool:
         return (
             self._balancer.has_running_requests
+            or self._balancer.has_health_news
             or self.forwarder.pending_count > 0
         )
 
