Keep instances from sending to the same freed slot, and lower limits gently

Ruled out: loss of packets in the gaps (the mean over a stream stays the same), a herd among new arrivals (no target got more than eight in 1.2 s). Change: while requests wait elsewhere too, an instance takes its share of the free slots once per 50 ms, besides those that its own requests free. The limit falls by the excess, from what the busiest target runs, once a second; a limit with a fraction admits that share of the targets. Without a lease the retry is spread over the end of a third of the caller's time; without a policy over 1 s.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -55,8 +55,15 @@
 GAP_HIGH_RATIO: typing.Final = 0.75
 GAP_LOW_RATIO: typing.Final = 0.6
 LIMIT_ADJUST_INTERVAL_S: typing.Final = 0.25
+# After the limit was lowered it isn't lowered again for so many intervals: the
+# streams that run go on, so the gaps follow about a stream's duration later.
+LIMIT_SETTLING_INTERVALS: typing.Final = 4
+# How much of an excess in the gaps is taken off the limit, and the factor by
+# which the limit is lowered at most. A pass takes some time without any
+# request, so the gaps grow by less than the number of requests.
+LIMIT_EXCESS_GAIN: typing.Final = 1.0
+LIMIT_MIN_FACTOR: typing.Final = 0.6
 # In requests per target.
-LIMIT_DECREMENT: typing.Final = 0.5
 LIMIT_INCREMENT: typing.Final = 0.25
 LIMIT_MIN: typing.Final = 2.0
 
--- a/packages/bambooring/src/bambooring/balancing/limit.py
+++ b/packages/bambooring/src/bambooring/balancing/limit.py
@@ -7,8 +7,14 @@
 on time.
 """
 
+import math
+import zlib
+
 from bambooring.balancing import const
 
+# The checksums by which targets are told apart are below this.
+_CHECKSUM_END = 2**32
+
 
 class ConcurrencyLimit:
     """Adapt the number of requests that each target of a service may run.
@@ -23,6 +29,7 @@
         '_gap_count',
         '_gap_sum_s',
         '_recovery_intervals',
+        '_settling_intervals',
         'accepted_gap_s',
         'mean_gap_s',
         'max_requests',
@@ -35,6 +42,7 @@
         self._gap_sum_s = 0.0
         self._gap_count = 0
         self._recovery_intervals = 0
+        self._settling_intervals = 0
 
     @property
     def is_recovering(self) -> bool:
@@ -59,31 +67,71 @@
         self._gap_sum_s = 0.0
         self._gap_count = 0
 
-    def adjust(self, mean_gaps_s: list[float], slots: int) -> None:
+    def get_max_requests(self, target_id: str) -> float:
+        """Return how many requests a target may run.
+
+        Of a limit with a fraction, that share of the targets may run one more,
+        the same ones at all instances. Otherwise the limit would reach a whole
+        number for all targets at once, and as many requests as there are
+        targets would start in the same moment.
+
+        :param target_id: the target
+        """
+        if math.isinf(self.max_requests) or self.is_recovering:
+            return self.max_requests
+        fraction = self.max_requests % 1
+        if zlib.crc32(target_id.encode()) < fraction * _CHECKSUM_END:
+            return math.ceil(self.max_requests)
+        return self.max_requests
+
+    def adjust(
+        self,
+        mean_gaps_s: list[float],
+        slots: int,
+        busiest: float = math.inf,
+    ) -> None:
         """Lower the limit if the gaps are too long, raise it if short.
 
-        Without any gaps the limit is raised too.
+        Without any gaps the limit is raised too. It is lowered in proportion
+        to the excess, from what the busiest target runs: a limit above that
+        changes nothing.
 
         :param mean_gaps_s: the mean gap that each instance with streams
             measured
         :param slots: the number of requests that a target can run at once
+        :param busiest: the number of requests that the busiest target runs
         """
         is_recovering = self.is_recovering
         self._recovery_intervals = max(0, self._recovery_intervals - 1)
+        self._settling_intervals = max(0, self._settling_intervals - 1)
         if not mean_gaps_s or not self.accepted_gap_s:
             self._increase(slots)
             return
         ratio = sum(mean_gaps_s) / len(mean_gaps_s) / self.accepted_gap_s
         if ratio > const.GAP_HIGH_RATIO:
-            limit = (
-                min(self.max_requests, float(slots)) - const.LIMIT_DECREMENT
+            self._decrease(
+                ratio, min(self.max_requests, slots, busiest or math.inf)
             )
-            self.max_requests = max(const.LIMIT_MIN, limit)
         elif is_recovering and ratio < const.GAP_RECOVERY_RATIO:
             self._increase(slots, const.RECOVERY_GROWTH)
         elif ratio < const.GAP_LOW_RATIO:
             self._increase(slots)
 
+    def _decrease(self, ratio: float, used: float) -> None:
+        """Lower the limit, and leave it so until that shows in the gaps.
+
+        :param ratio: the ratio of the mean gap to the accepted one
+        :param used: the part of the limit that is in use
+        """
+        if self._settling_intervals:
+            return
+        self._settling_intervals = const.LIMIT_SETTLING_INTERVALS
+        excess = ratio / const.GAP_HIGH_RATIO - 1
+        factor = max(
+            const.LIMIT_MIN_FACTOR, 1 - const.LIMIT_EXCESS_GAIN * excess
+        )
+        self.max_requests = max(const.LIMIT_MIN, used * factor)
+
     def restart(self) -> None:
         """Begin with the lowest limit, because the service was out.
 
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -358,7 +358,7 @@
         )
         limit = self._limits_by_service.get(target.service)
         if limit is not None:
-            max_running = min(max_running, limit.max_requests)
+            max_running = min(max_running, limit.get_max_requests(target.id))
         running = load.running + 1
         return running * self._groups.get_slowdown(target) <= max_running
 
@@ -366,10 +366,12 @@
         """Return how much more a service's usable targets may run."""
         self.loads.expire(now_s)
         limit = self._limits_by_service.get(service)
-        limit_per_target = limit.max_requests if limit else float('inf')
         room = Room(free=0, slots=0.0, running=0)
         for target in self._list_candidates(service, now_s, ()):
             slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+            limit_per_target = (
+                limit.get_max_requests(target.id) if limit else math.inf
+            )
             room.slots += min(slots, limit_per_target)
             max_running = min(
                 slots + const.EXTRA_REQUESTS_PER_TARGET, limit_per_target
@@ -421,17 +423,19 @@
         for service, limit in self._limits_by_service.items():
             limit.close_interval()
             gaps_s = [*self.loads.list_gaps_s(service), limit.mean_gap_s]
-            service_targets = self._targets_by_service.get(
-                service, {}
-            ).values()
+            targets_by_id = self._targets_by_service.get(service, {})
             slots = max(
                 (
                     item.slots or const.DEFAULT_SLOTS_PER_TARGET
-                    for item in service_targets
+                    for item in targets_by_id.values()
                 ),
                 default=0,
             )
-            limit.adjust([item for item in gaps_s if item], slots)
+            busiest = max(
+                (self.count_running(target_id) for target_id in targets_by_id),
+                default=0,
+            )
+            limit.adjust([item for item in gaps_s if item], slots, busiest)
         return {
             service: limit.max_requests
             for service, limit in self._limits_by_service.items()
--- a/packages/bambooring/src/bambooring/balancing/tests/test_limit.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_limit.py
@@ -65,3 +65,33 @@
         concurrency.adjust([9.0], SLOTS)
         concurrency.add_gap(9.0, ACCEPTED_GAP_S)
     assert concurrency.max_requests == const.LIMIT_MIN
+
+
+def test_small_excess_lowers_the_limit_a_little():
+    """A gap just above what is wanted doesn't turn callers away.
+
+    The limit fell by half a request in each interval until that showed in the
+    gaps, so a few long passes left half of the slots empty for seconds.
+    """
+    concurrency = limit.ConcurrencyLimit()
+    gap_s = 1.03 * const.GAP_HIGH_RATIO * ACCEPTED_GAP_S
+    for _ in range(const.LIMIT_SETTLING_INTERVALS):
+        concurrency.add_gap(gap_s, ACCEPTED_GAP_S)
+        concurrency.close_interval()
+        concurrency.adjust([gap_s], SLOTS, busiest=3)
+    assert 2.7 < concurrency.max_requests < 3.0
+
+
+def test_limit_between_two_numbers_admits_a_share_of_the_targets():
+    """Targets don't all get one more request in the same moment."""
+    concurrency = limit.ConcurrencyLimit()
+    concurrency.max_requests = 2.25
+    targets = [f'i-{number}' for number in range(400)]
+    more = [
+        target
+        for target in targets
+        if concurrency.get_max_requests(target) >= 3
+    ]
+    assert 0.2 < len(more) / len(targets) < 0.3
+    concurrency.max_requests = 2.0
+    assert not any(concurrency.get_max_requests(item) > 2 for item in targets)
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -104,6 +104,11 @@
 ACCOUNT_PRIORITY_STEP_S: typing.Final = 0.3
 ROUTE_PRIORITY_STEP_S: typing.Final = 0.1
 
+# While requests wait at other instances too, an instance takes its share of
+# the free slots once in this time. Load reports need about as long to arrive,
+# also by the relays of the failure domains.
+SLOT_ROUND_S: typing.Final = 0.05
+
 # Queued requests are checked at this interval if no other event leads to it.
 QUEUE_POLL_INTERVAL_S: typing.Final = 0.02
 
@@ -151,6 +156,10 @@
 # to wait for this share of its remaining time, which leaves it time for a
 # response after the retry.
 OUTAGE_RETRY_AFTER_SHARE: typing.Final = 0.33
+# Retries are spread over this last part of that time.
+OUTAGE_RETRY_SPREAD: typing.Final = 0.15
+# An instance that has just started knows a policy within this time.
+POLICY_RETRY_AFTER_S: typing.Final = 1.0
 # A request that a stopping instance refuses can be sent to another instance at
 # once.
 STOPPING_RETRY_AFTER_S: typing.Final = 0.05
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -29,6 +29,7 @@
     request: messages.CallerRequest,
     *,
     has_lease: bool,
+    draw: float = 0.0,
 ) -> Admission | messages.ErrorResponse:
     """Find the route and the account of a request in the policy in force.
 
@@ -39,19 +40,20 @@
     :param policy_table: the policy in force, None if none is known yet
     :param request: the request
     :param has_lease: whether the policy is known to be the newest
+    :param draw: a random number from 0 to 1, which spreads retries
     :returns: the admission, or the error response for the caller
     """
     if policy_table is None:
-        return _reject_unexecuted(const.Reason.NO_POLICY)
+        return _reject_without_policy(draw)
     route = policy_table.find_route(request.host, request.path)
     if route is None:
         if not has_lease:
-            return _reject_unexecuted(const.Reason.NO_LEASE)
+            return _reject_without_lease(request, draw)
         return messages.ErrorResponse(status=404, reason=const.Reason.NO_ROUTE)
     if route.is_anonymous or not policy_table.has_accounts:
         return Admission(route=route, account=None)
     if not has_lease:
-        return _reject_unexecuted(const.Reason.NO_LEASE)
+        return _reject_without_lease(request, draw)
     account = (
         policy_table.find_account(request.api_key) if request.api_key else None
     )
@@ -62,12 +64,45 @@
     return Admission(route=route, account=account)
 
 
-def _reject_unexecuted(reason: const.Reason) -> messages.ErrorResponse:
+def _reject_without_policy(draw: float) -> messages.ErrorResponse:
+    """Refuse a request at an instance that has just started."""
     return messages.ErrorResponse(
-        status=503, reason=reason, retry_after_s=const.RETRY_AFTER_MIN_S
+        status=503,
+        reason=const.Reason.NO_POLICY,
+        retry_after_s=const.RETRY_AFTER_MIN_S
+        + draw * const.POLICY_RETRY_AFTER_S,
     )
 
 
+def _reject_without_lease(
+    request: messages.CallerRequest, draw: float
+) -> messages.ErrorResponse:
+    """Refuse a request at an instance that lost the control group.
+
+    Its neighbours have mostly lost it too, so a retry at one of them within a
+    moment would be refused again.
+    """
+    time_left_s = request.time_left_s
+    if time_left_s is None:
+        time_left_s = const.RETRY_AFTER_MAX_S / const.OUTAGE_RETRY_AFTER_SHARE
+    return messages.ErrorResponse(
+        status=503,
+        reason=const.Reason.NO_LEASE,
+        retry_after_s=compute_outage_retry_after_s(time_left_s, draw),
+    )
+
+
+def compute_outage_retry_after_s(time_left_s: float, draw: float) -> float:
+    """Return after how long to retry during an outage of unknown length.
+
+    :param time_left_s: the time until the caller's deadline
+    :param draw: a random number from 0 to 1, which spreads retries
+    """
+    spread = 1 - const.OUTAGE_RETRY_SPREAD * draw
+    wait_s = const.OUTAGE_RETRY_AFTER_SHARE * spread * time_left_s
+    return max(wait_s, const.RETRY_AFTER_MIN_S)
+
+
 # The sort key of a queued request, in ascending order: whether the caller has
 # no part of the response yet, whether its account and route both get their
 # share, whether it will be late, and when it was received, plus a delay by its
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -18,6 +18,7 @@
 from bambooring.forwarding import messages
 from bambooring.forwarding import ordering
 from bambooring.forwarding import service_order
+from bambooring.forwarding import slot_shares
 from bambooring.routing import budget as budget_module
 from bambooring_core import reactor as reactor_module
 
@@ -48,6 +49,7 @@
         self._rng = rng
         self._report_load = report_load
         self.order = service_order.ServiceOrder(balancer, report_load)
+        self.slot_shares = slot_shares.SlotShares(balancer, rng)
         self._queues: dict[str, list[pending_request.PendingRequest]] = {}
         self._poll_timer: reactor_module.Timer | None = None
         self._planned_stop: messages.PlannedStop | None = None
@@ -378,14 +380,28 @@
 
     def dispatch_queued(self) -> None:
         """Send queued requests to targets while there are free slots."""
-        for queue in self._queues.values():
+        for service, queue in self._queues.items():
+            if not queue:
+                continue
             now_s = self._reactor.now()
             self._give_up_overdue(queue, now_s)
             queue.sort(key=lambda pending: pending.get_queue_key(now_s))
-            while queue and self._dispatch_first(queue):
-                pass
+            allowed = self.slot_shares.draw(service, len(queue), now_s)
+            while queue and self._may_send_first(queue, allowed):
+                if not self._dispatch_first(queue):
+                    break
+                allowed -= 1
             self._give_up_hopeless(queue)
 
+    def _may_send_first(
+        self, queue: list['pending_request.PendingRequest'], allowed: int
+    ) -> bool:
+        """Return whether the share of free slots allows another request.
+
+        The rest of a stream that has begun waits for no share.
+        """
+        return allowed > 0 or queue[0].progress.is_response_started
+
     def _give_up_overdue(
         self, queue: list['pending_request.PendingRequest'], now_s: float
     ) -> None:
@@ -474,11 +490,9 @@
         if not capacity.usable_target_count or self._balancer.is_unavailable(
             service, now_s
         ):
-            share = const.OUTAGE_RETRY_AFTER_SHARE * self._rng.uniform(
-                0.85, 1.0
+            return decisions.compute_outage_retry_after_s(
+                pending.get_time_left_s(), self._rng.random()
             )
-            wait_s = share * pending.get_time_left_s()
-            return max(wait_s, const.RETRY_AFTER_MIN_S)
         if pending.standing is not None:
             return self.order.compute_retry_after_s(
                 pending,
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -117,6 +117,7 @@
             self.policy_table,
             request,
             has_lease=self._lease.is_valid(lease_now_s),
+            draw=self._rng.random(),
         )
         if isinstance(result, messages.ErrorResponse):
             self._reject(exchange, request.attempt_id, result)
@@ -221,6 +222,7 @@
         self.balancer.remove_request(attempt.target.id, attempt.unread_tokens)
         self.balancer.rests.record_end(attempt.target, attempt.attempt_id)
         self._schedule_load_report(loads_const.FREED_SLOT_REPORT_DELAY_S)
+        self.dispatcher.slot_shares.record_freed(attempt.target.service)
         self.reactor.call_soon(self.dispatcher.dispatch_queued)
 
     def record_prompt_read(self, attempt: attempt_module.Attempt) -> None:
