Let one instance at a time take a free slot where the order counts

Cause: in a play of 8 instances over the real dispatchers (trial), all learned of a free slot at once and each sent a request there, so urgent requests waited 0.17 s in the targets' own queues; late feedback made starved routes overshoot.

Change: an instance has the slots that its own requests leave, and draws for others, such that one instance takes each on average. No requests beyond the slots of a target. The shares are counted when a slot is given, and sizes are compared within their urgency only.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -67,8 +67,7 @@
     """What the usable targets of a service may run and do run.
 
     ``slots`` is how many requests they may run at once, ``running`` how many
-    they run. ``free`` is how many more may be sent, which counts one beyond
-    the slots of each target.
+    they run. ``free`` is how many slots aren't taken.
     """
 
     free: int
@@ -145,6 +144,7 @@
         *,
         may_probe: bool = True,
         prefers_serving: bool = False,
+        extra_requests: int = const.EXTRA_REQUESTS_PER_TARGET,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -157,6 +157,8 @@
             its rest though another one has room
         :param prefers_serving: whether a target that runs requests goes before
             one with nothing to do, which may refuse all that it gets
+        :param extra_requests: how many requests a target may get beyond its
+            slots
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -173,7 +175,9 @@
                 target,
             )
             for target in candidates
-            if self._has_room(target, load := self._sum_load(target.id))
+            if self._has_room(
+                target, load := self._sum_load(target.id), extra_requests
+            )
         ]
         if not scored_candidates:
             return None
@@ -237,14 +241,17 @@
         return 0 < load.running < slots
 
     def _has_room(
-        self, target: targets.Target, load: peers_module.RunningLoad
+        self,
+        target: targets.Target,
+        load: peers_module.RunningLoad,
+        extra_requests: int,
     ) -> bool:
         """Return whether a target may get one more request.
 
         Each request at a slow rank counts as many requests as the rank's
         slowdown.
         """
-        max_running: float = const.EXTRA_REQUESTS_PER_TARGET + (
+        max_running: float = extra_requests + (
             target.slots or const.DEFAULT_SLOTS_PER_TARGET
         )
         limit = self._limits_by_service.get(target.service)
@@ -254,19 +261,22 @@
         return running * self._groups.get_slowdown(target) <= max_running
 
     def measure_room(self, service: str, now_s: float) -> Room:
-        """Return how much more a service's usable targets may run."""
+        """Return how much more a service's usable targets may run.
+
+        :param service: the service's name
+        :param now_s: the current time in seconds
+        """
         self.loads.expire(now_s)
         limit = self._limits_by_service.get(service)
         limit_per_target = limit.max_requests if limit else float('inf')
         room = Room(free=0, slots=0.0, running=0)
         for target in self._list_candidates(service, now_s, ()):
             slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
-            room.slots += min(slots, limit_per_target)
-            max_running = min(
-                slots + const.EXTRA_REQUESTS_PER_TARGET, limit_per_target
-            ) / self._groups.get_slowdown(target)
+            max_running = min(slots, limit_per_target)
+            room.slots += max_running
             running = self.count_running(target.id)
             room.running += running
+            max_running /= self._groups.get_slowdown(target)
             room.free += max(0, math.floor(max_running) - running)
         return room
 
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -46,7 +46,7 @@
 # more urgent requests only if its share is below this fraction of all: above
 # the quarter that it must get, and low enough that a less urgent route whose
 # demand is 2.4 times the usual stays behind the urgent ones.
-STARVED_SHARE: typing.Final = 0.4
+STARVED_SHARE: typing.Final = 0.27
 # The same for the largest prompts of a route, of which half must be served.
 STARVED_SIZE_SHARE: typing.Final = 0.65
 # Few requests of a key say little: as many are added with the mean share.
@@ -96,6 +96,12 @@
 # A freed slot is left to more urgent requests at other instances for no
 # longer than this: two intervals of the relays between failure domains.
 HOLD_BACK_MAX_S: typing.Final = 0.15
+# A slot that an instance's own request has left is its own for this long,
+# which is less than it takes to tell the others.
+OWN_SLOT_S: typing.Final = 0.002
+# How often an instance tries to get one of too few slots: the others have
+# heard by then if it was taken.
+SLOT_DRAW_INTERVAL_S: typing.Final = 0.08
 # After an outage, requests that will be late leave this share of the slots to
 # those that can be on time.
 RECOVERY_ON_TIME_SHARE: typing.Final = 0.5
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -47,7 +47,7 @@
         self._budget = budget
         self._rng = rng
         self._report_load = report_load
-        self.order = service_order.ServiceOrder(balancer, report_load)
+        self.order = service_order.ServiceOrder(balancer, report_load, rng)
         self._queues: dict[str, list[pending_request.PendingRequest]] = {}
         self._poll_timer: reactor_module.Timer | None = None
         self._planned_stop: messages.PlannedStop | None = None
@@ -196,7 +196,7 @@
 
         One that no untried target may take yet is passed by others.
         """
-        if not self.order.may_take_slot(queued, self._reactor.now()):
+        if not self._may_take_slot(queued):
             return False
         return not queued.tried_targets or self.may_dispatch(queued)
 
@@ -319,7 +319,7 @@
 
     def _try_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
         now_s = self._reactor.now()
-        if not self.order.may_take_slot(pending, now_s):
+        if not self._may_take_slot(pending):
             return False
         choice = self._choose(pending, now_s)
         if choice is None:
@@ -327,6 +327,13 @@
         self._send(pending, choice, now_s)
         return True
 
+    def _may_take_slot(
+        self, pending: 'pending_request.PendingRequest'
+    ) -> bool:
+        return self.order.may_take_slot(
+            pending, self._queues[pending.service], self._reactor.now()
+        )
+
     def _send(
         self,
         pending: 'pending_request.PendingRequest',
@@ -344,7 +351,9 @@
         A request that was sent before has lost time already, and one that is
         refused as a probe costs a retry that others may need more. A target
         that refuses everything has the least load of all, so a request that
-        one such has refused keeps away from others like it.
+        one such has refused keeps away from others like it. Where the order
+        counts, a request that waits in a target's own queue would get its next
+        slot, though a more urgent one waits elsewhere.
         """
         return self._balancer.choose(
             pending.service,
@@ -353,6 +362,9 @@
             may_probe=not pending.progress.attempt_count
             and self._budget.has_reserve(now_s),
             prefers_serving=pending.progress.resting_count > 0,
+            extra_requests=balancing_const.EXTRA_REQUESTS_PER_TARGET
+            if pending.standing is None
+            else 0,
         )
 
     def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
@@ -418,7 +430,7 @@
         """
         now_s = self._reactor.now()
         for pending in queue:
-            if not self.order.may_take_slot(pending, now_s):
+            if not self._may_take_slot(pending):
                 continue
             choice = self._choose(pending, now_s)
             if choice is not None:
--- a/packages/bambooring/src/bambooring/forwarding/ordering.py
+++ b/packages/bambooring/src/bambooring/forwarding/ordering.py
@@ -13,10 +13,11 @@
 from bambooring.policy import messages as policy
 
 # The sort key of a queued request, in ascending order: whether the caller has
-# no part of the response yet, whether its account, route and size all get
-# their share, its urgency, whether it will be late, whether it is new rather
-# than back after a refusal, and its deadline.
-OrderedKey = tuple[bool, bool, int, bool, bool, float]
+# no part of the response yet, whether its account, route and subject all get
+# their share, its urgency, whether its size gets its share of the route,
+# whether it will be late, whether it is new rather than back after a refusal,
+# and its deadline.
+OrderedKey = tuple[bool, bool, int, bool, bool, bool, float]
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -59,6 +60,7 @@
     *,
     is_response_started: bool,
     is_underserved: bool,
+    is_size_underserved: bool,
     now_s: float,
 ) -> OrderedKey:
     """Return the sort key of a queued request; the lowest is served first.
@@ -70,14 +72,16 @@
 
     :param standing: the request
     :param is_response_started: whether its caller has a part of the response
-    :param is_underserved: whether its account, route, size or subject has too
-        few requests served
+    :param is_underserved: whether its account, route or subject has too few
+        requests served
+    :param is_size_underserved: whether its size has, among those of its route
     :param now_s: the current time in seconds
     """
     return (
         not is_response_started,
         not is_underserved,
         standing.urgency,
+        not is_size_underserved,
         standing.is_late(now_s),
         not standing.is_returning,
         standing.deadline_s,
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -607,13 +607,12 @@
         self._forwarder.remove_request(self)
         if outcome != const.Reason.CALLER_LEFT:
             now_s = self._forwarder.reactor.now()
-            is_served = outcome == 'answered'
             self._forwarder.fairness.record_result(
-                self._fairness_keys, is_served=is_served, now_s=now_s
-            )
-            self._forwarder.dispatcher.order.record_result(
-                self, is_served=is_served, now_s=now_s
+                self._fairness_keys,
+                is_served=outcome == 'answered',
+                now_s=now_s,
             )
+            self._forwarder.dispatcher.order.record_refusal(self, now_s)
         access_log.log_request(
             access_log.RequestRecord(
                 request=self.request,
--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import dataclasses
+import random
 import typing
 
 import structlog
@@ -53,13 +54,24 @@
 class _ServiceState:
     """The state of one service whose routes differ in priority."""
 
-    __slots__ = ('dispatch_shares', 'fairness', 'held')
+    __slots__ = (
+        'dispatch_shares',
+        'fairness',
+        'held',
+        'next_draw_s',
+        'released',
+        'released_s',
+    )
 
     def __init__(self) -> None:
         self.fairness = fairness.FairnessTracker(const.ORDERED_HALF_LIFE_S)
         # The share of the requests sent, by urgency and lateness.
         self.dispatch_shares = [0.0] * (2 * urgency.CLASS_COUNT)
         self.held: _HeldSlots | None = None
+        self.next_draw_s = 0.0
+        # Slots that requests of this instance have left a moment ago.
+        self.released = 0
+        self.released_s = 0.0
 
 
 class ServiceOrder:
@@ -69,8 +81,10 @@
         self,
         balancer: balancing.Balancer,
         report_load: collections.abc.Callable[[], None],
+        rng: random.Random,
     ) -> None:
         self._balancer = balancer
+        self._rng = rng
         self._report_load = report_load
         self._states: dict[str, _ServiceState] = {}
         self._rooms: dict[str, balancing.Room] = {}
@@ -93,6 +107,10 @@
             standing,
             is_response_started=request.progress.is_response_started,
             is_underserved=self._is_underserved(standing, request.service),
+            is_size_underserved=bool(standing.size_key)
+            and self._get_state(request.service).fairness.is_starved(
+                standing.size_key, const.STARVED_SIZE_SHARE, standing.route_key
+            ),
             now_s=now_s,
         )
 
@@ -100,10 +118,6 @@
         self, standing: ordering.Standing, service: str
     ) -> bool:
         tracker = self._get_state(service).fairness
-        if standing.size_key and tracker.is_starved(
-            standing.size_key, const.STARVED_SIZE_SHARE, standing.route_key
-        ):
-            return True
         return any(
             tracker.is_starved(key, const.STARVED_SHARE)
             for key in (
@@ -114,32 +128,28 @@
             if key
         )
 
-    def record_result(
-        self, request: OrderedRequest, *, is_served: bool, now_s: float
-    ) -> None:
-        """Count a request that has ended."""
+    def record_refusal(self, request: OrderedRequest, now_s: float) -> None:
+        """Count a request that ends; one that had a slot is counted then."""
         standing = request.standing
-        if standing is None:
+        if standing is None or request.progress.attempt_count:
             return
-        if not is_served:
-            metrics.UNSERVED.labels(urgency=standing.urgency).inc()
-        keys = (
-            standing.route_key,
-            standing.account_key,
-            standing.size_key,
-            standing.subject_key,
-        )
-        self._get_state(request.service).fairness.record_result(
-            filter(None, keys), is_served=is_served, now_s=now_s
-        )
+        metrics.UNSERVED.labels(urgency=standing.urgency).inc()
+        self._record_share(standing, request.service, False, now_s)
 
     def record_dispatch(self, request: OrderedRequest, now_s: float) -> None:
-        """Count a request that is sent to a target."""
+        """Count a request that is about to be sent to a target.
+
+        It counts as served from now on: if that was known only seconds later,
+        in the meantime more slots than needed would make up for its share.
+        """
         self._rooms.clear()
         standing = request.standing
-        if standing is None:
+        if standing is None or request.progress.attempt_count:
             return
-        shares = self._get_state(request.service).dispatch_shares
+        self._record_share(standing, request.service, True, now_s)
+        state = self._get_state(request.service)
+        state.released = max(0, state.released - 1)
+        shares = state.dispatch_shares
         weight = const.DISPATCH_EWMA_WEIGHT
         for index, share in enumerate(shares):
             shares[index] = share * (1 - weight)
@@ -148,6 +158,23 @@
             now_s - request.admitted_s
         )
 
+    def _record_share(
+        self,
+        standing: ordering.Standing,
+        service: str,
+        is_served: bool,
+        now_s: float,
+    ) -> None:
+        keys = (
+            standing.route_key,
+            standing.account_key,
+            standing.size_key,
+            standing.subject_key,
+        )
+        self._get_state(service).fairness.record_result(
+            filter(None, keys), is_served=is_served, now_s=now_s
+        )
+
     def get_exchange_urgency(self, request: OrderedRequest) -> int:
         """Return the urgency that other instances leave slots for.
 
@@ -172,11 +199,20 @@
             counts[self.get_exchange_urgency(request)] += 1
         return counts
 
-    def may_take_slot(self, request: OrderedRequest, now_s: float) -> bool:
+    def may_take_slot(
+        self,
+        request: OrderedRequest,
+        queue: collections.abc.Collection[OrderedRequest],
+        now_s: float,
+    ) -> bool:
         """Return whether a request may have a free slot, if there is one.
 
         A less urgent request leaves as many slots as more urgent ones wait at
         other instances. If these don't take any for a while, they can't.
+
+        :param request: the request
+        :param queue: what waits here for the same service
+        :param now_s: the current time in seconds
         """
         if request.progress.is_response_started:
             return True
@@ -186,33 +222,104 @@
             return True
         state = self._get_state(request.service)
         counts = self._balancer.loads.count_waiting_by_urgency(request.service)
-        before = sum(counts[: self.get_exchange_urgency(request)])
+        own_urgency = self.get_exchange_urgency(request)
+        before = sum(counts[:own_urgency])
         if not before:
             state.held = None
-            return True
+            if not counts[own_urgency]:
+                return True
         room = self._measure_room(request.service, now_s)
-        if not room.free or room.free > before:
+        if not room.free:
             state.held = None
             return True
-        if state.held is None or room.free < state.held.free:
-            state.held = _HeldSlots(since_s=now_s, free=room.free)
+        if room.free <= before and self._should_leave_slots(
+            request.standing, state, room.free, before, now_s
+        ):
+            return False
+        return self._wins_slot(
+            state,
+            free=max(1, room.free - before),
+            own=sum(
+                self.get_exchange_urgency(queued) == own_urgency
+                for queued in queue
+                if queued is not request
+            )
+            + 1,
+            elsewhere=counts[own_urgency],
+            now_s=now_s,
+        )
+
+    def _should_leave_slots(
+        self,
+        standing: ordering.Standing,
+        state: _ServiceState,
+        free: int,
+        before: int,
+        now_s: float,
+    ) -> bool:
+        """Return whether to leave free slots to more urgent ones elsewhere."""
+        if state.held is None or free < state.held.free:
+            state.held = _HeldSlots(since_s=now_s, free=free)
             metrics.SLOTS_LEFT.inc()
             self._report_load()
-        state.held.free = room.free
+        state.held.free = free
         if now_s - state.held.since_s < const.HOLD_BACK_MAX_S:
-            return False
+            return True
         LOG.info(
             'slot not taken elsewhere',
-            service=request.service,
-            urgency=request.standing.urgency,
+            urgency=standing.urgency,
             ahead_elsewhere=before,
-            free=room.free,
+            free=free,
             report_age_ms=round(
                 self._balancer.loads.get_oldest_age_s(now_s) * 1000
             ),
         )
         state.held = None
-        return True
+        return False
+
+    def _wins_slot(
+        self,
+        state: _ServiceState,
+        *,
+        free: int,
+        own: int,
+        elsewhere: int,
+        now_s: float,
+    ) -> bool:
+        """Return whether a request may have one of too few free slots.
+
+        All instances learn of a free slot at the same time. If each sent a
+        request there, all but one would wait in the target's own queue while
+        other slots become free. So the instance that had the slot may have it
+        at once, and the others draw, such that one of them takes it on
+        average.
+        """
+        if free >= own + elsewhere:
+            return True
+        if state.released and now_s - state.released_s < const.OWN_SLOT_S:
+            return True
+        if now_s < state.next_draw_s:
+            return False
+        if self._rng.random() * (own + elsewhere) < free * own:
+            return True
+        state.next_draw_s = now_s + const.SLOT_DRAW_INTERVAL_S
+        return False
+
+    def record_release(self, service: str, now_s: float) -> None:
+        """Record that a request of this instance has left its slot."""
+        self._rooms.clear()
+        state = self._states.get(service)
+        if state is not None:
+            if now_s - state.released_s >= const.OWN_SLOT_S:
+                state.released = 0
+            state.released += 1
+            state.released_s = now_s
+
+    def is_contended(self, service: str) -> bool:
+        """Return whether others wait for the slots of an ordered service."""
+        return service in self._states and any(
+            self._balancer.loads.count_waiting_by_urgency(service)
+        )
 
     def _may_take_slot_after_outage(
         self, request: OrderedRequest, now_s: float
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -216,7 +216,14 @@
         """
         self.balancer.remove_request(attempt.target.id, attempt.unread_tokens)
         self.balancer.rests.record_end(attempt.target, attempt.attempt_id)
-        self._schedule_load_report(loads_const.FREED_SLOT_REPORT_DELAY_S)
+        service = attempt.target.service
+        self.dispatcher.order.record_release(service, self.reactor.now())
+        # Where others wait for the slot, it is worth a report of its own.
+        self._schedule_load_report(
+            loads_const.LOAD_REPORT_MIN_INTERVAL_S
+            if self.dispatcher.order.is_contended(service)
+            else loads_const.FREED_SLOT_REPORT_DELAY_S
+        )
         self.reactor.call_soon(self.dispatcher.dispatch_queued)
 
     def record_prompt_read(self, attempt: attempt_module.Attempt) -> None:
