--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -75,8 +75,7 @@
     """What the usable targets of a service may run and do run.
 
     ``slots`` is how many requests they may run at once, ``running`` how many
-    they run. ``free`` is how many more may be sent, which counts one beyond
-    the slots of each target.
+    they run. ``free`` is how many slots aren't taken.
     """
 
     free: int
@@ -204,6 +203,7 @@
         *,
         may_probe: bool = True,
         prefers_serving: bool = False,
+        extra_requests: int = const.EXTRA_REQUESTS_PER_TARGET,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -216,6 +216,8 @@
             its rest though another one has room
         :param prefers_serving: whether a target that runs requests goes before
             one with nothing to do, which may refuse all that it gets
+        :param extra_requests: how many requests a target may get beyond its
+            slots
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -235,7 +237,9 @@
                 target,
             )
             for target in candidates
-            if self._has_room(target, load := self._sum_load(target.id))
+            if self._has_room(
+                target, load := self._sum_load(target.id), extra_requests
+            )
         ]
         best_candidate = min(
             scored_candidates, key=lambda item: item[:3], default=None
@@ -346,14 +350,17 @@
         return 0 < load.running < slots
 
     def _has_room(
-        self, target: targets.Target, load: peers_module.RunningLoad
+        self,
+        target: targets.Target,
+        load: peers_module.RunningLoad,
+        extra_requests: int = const.EXTRA_REQUESTS_PER_TARGET,
     ) -> bool:
         """Return whether a target may get one more request.
 
         Each request at a slow rank counts as many requests as the rank's
         slowdown.
         """
-        max_running: float = const.EXTRA_REQUESTS_PER_TARGET + (
+        max_running: float = extra_requests + (
             target.slots or const.DEFAULT_SLOTS_PER_TARGET
         )
         limit = self._limits_by_service.get(target.service)
@@ -362,8 +369,16 @@
         running = load.running + 1
         return running * self._groups.get_slowdown(target) <= max_running
 
-    def measure_room(self, service: str, now_s: float) -> Room:
-        """Return how much more a service's usable targets may run."""
+    def measure_room(
+        self, service: str, now_s: float, extra_requests: int = 0
+    ) -> Room:
+        """Return how much more a service's usable targets may run.
+
+        :param service: the service's name
+        :param now_s: the current time in seconds
+        :param extra_requests: how many requests a target may get beyond its
+            slots
+        """
         self.loads.expire(now_s)
         limit = self._limits_by_service.get(service)
         room = Room(free=0, slots=0.0, running=0)
@@ -373,11 +388,10 @@
                 limit.get_max_requests(target.id) if limit else math.inf
             )
             room.slots += min(slots, limit_per_target)
-            max_running = min(
-                slots + const.EXTRA_REQUESTS_PER_TARGET, limit_per_target
-            ) / self._groups.get_slowdown(target)
+            max_running = min(slots + extra_requests, limit_per_target)
             running = self.count_running(target.id)
             room.running += running
+            max_running /= self._groups.get_slowdown(target)
             room.free += max(0, math.floor(max_running) - running)
         return room
 
--- a/packages/bambooring/src/bambooring/forwarding/slot_shares.py
+++ b/packages/bambooring/src/bambooring/forwarding/slot_shares.py
@@ -11,6 +11,7 @@
 import dataclasses
 import random
 
+from bambooring.balancing import const as balancing_const
 from bambooring.balancing import state as balancing
 from bambooring.forwarding import const
 
@@ -62,7 +63,9 @@
         if now_s < share.next_round_s:
             return min(allowed, waiting)
         share.next_round_s = now_s + const.SLOT_ROUND_S
-        free = self._balancer.measure_room(service, now_s).free
+        free = self._balancer.measure_room(
+            service, now_s, balancing_const.EXTRA_REQUESTS_PER_TARGET
+        ).free
         due = max(0, free - allowed) * waiting / (waiting + waiting_elsewhere)
         return min(allowed + self._round_randomly(due), waiting)
 
