--- a/packages/bambooring/src/bambooring/balancing/groups.py
+++ b/packages/bambooring/src/bambooring/balancing/groups.py
@@ -13,6 +13,7 @@
 import collections.abc
 
 from bambooring.balancing import const
+from bambooring.balancing import permits as permits_module
 from bambooring.targets import messages as targets
 
 TargetsByService = collections.abc.Mapping[
@@ -25,13 +26,15 @@
 
     __slots__ = (
         '_broken_epochs',
+        '_cold',
         '_disproved_epochs',
         '_slowdowns',
         '_slowdowns_received_s',
         '_next_probe_s',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, cold: permits_module.ColdTargets) -> None:
+        self._cold = cold
         # By service: the epoch in which its group is reported as broken.
         self._broken_epochs: dict[str, int] = {}
         # By service: the epoch that was reported as broken although a target
@@ -120,16 +123,14 @@
                 del self._slowdowns[group]
                 del self._slowdowns_received_s[group]
 
-    def has_slowdown(self, target: targets.Target) -> bool:
-        """Return whether the slowdown of a target is known."""
-        return target.rank < len(self._slowdowns.get(target.group, ()))
-
     def get_slowdown(self, target: targets.Target) -> float:
         """Return how many times longer a target takes than the fastest rank.
 
-        It is 1 for a target whose slowdown isn't known.
+        Where it isn't known, it is assumed for a cold target and 1 for others.
         """
         slowdowns = self._slowdowns.get(target.group)
         if slowdowns is None or target.rank >= len(slowdowns):
+            if self._cold.runs and self._cold.is_cold(target):
+                return const.COLD_SLOWDOWN
             return 1.0
         return slowdowns[target.rank]
--- a/packages/bambooring/src/bambooring/balancing/permits.py
+++ b/packages/bambooring/src/bambooring/balancing/permits.py
@@ -107,6 +107,7 @@
 class ColdTargets:
     """Know the cold targets, and hold the permits of this instance.
 
+    ``runs`` are the cold runs of targets, also of services without a limit.
     ``on_demand`` is called when a request could use a permit. ``outcomes``
     counts what became of requests for permits and of permits.
     """
@@ -120,10 +121,11 @@
         self.outcomes: collections.Counter[str] = collections.Counter()
         self._changes: dict[runs_module.Run, ColdChange] = {}
         self._limits: dict[str, int] = {}
-        self._cold_runs: dict[runs_module.Run, _ColdRun] = {}
+        self.runs: dict[runs_module.Run, _ColdRun] = {}
         self._warm_runs: set[runs_module.Run] = set()
         self._next_end_s = math.inf
-        self._withheld: list[targets.Target] = []
+        # What the last call of ``withhold`` left out.
+        self.withheld: list[targets.Target] = []
         self._demands: dict[str, _Demand] = {}
         self._asks: dict[int, _Ask] = {}
         self._sequence = 0
@@ -140,11 +142,11 @@
         self, runs: collections.abc.Container[runs_module.Run]
     ) -> None:
         """Forget runs that take no new work, if there are many of them."""
-        if len(self._cold_runs) + len(self._warm_runs) < const.COLD_RUNS_MAX:
+        if len(self.runs) + len(self._warm_runs) < const.COLD_RUNS_MAX:
             return
         self._warm_runs = {run for run in self._warm_runs if run in runs}
-        self._cold_runs = {
-            run: cold for run, cold in self._cold_runs.items() if run in runs
+        self.runs = {
+            run: cold for run, cold in self.runs.items() if run in runs
         }
 
     def record_announcement(
@@ -155,7 +157,7 @@
             self._set_cold(target, target.cold_ms, now_s)
             return
         run = runs_module.get_run(target)
-        cold = self._cold_runs.get(run)
+        cold = self.runs.get(run)
         if cold is None:
             self._warm_runs.add(run)
         elif now_s - cold.stated_s > const.COLD_STATEMENT_HOLD_S:
@@ -178,7 +180,7 @@
     ) -> _ColdRun:
         run = runs_module.get_run(target)
         until_s = now_s + cold_ms / 1000 + const.COLD_MARGIN_S
-        cold = self._cold_runs.get(run)
+        cold = self.runs.get(run)
         if cold is not None:
             cold.until_s = max(cold.until_s, until_s)
             return cold
@@ -188,7 +190,7 @@
             # they count within the same second.
             cold.ask_from_s = now_s + const.COLD_AGAIN_DELAY_S
             self._warm_runs.discard(run)
-        self._cold_runs[run] = cold
+        self.runs[run] = cold
         self._next_end_s = min(self._next_end_s, until_s)
         self._changes[run] = ColdChange(
             target=target, is_cold=True, remaining_s=until_s - now_s
@@ -196,7 +198,7 @@
         return cold
 
     def _set_warm(self, run: runs_module.Run) -> None:
-        cold = self._cold_runs.pop(run)
+        cold = self.runs.pop(run)
         self.outcomes['expired'] += len(cold.permit_ends_s)
         self._warm_runs.add(run)
         self._changes[run] = ColdChange(
@@ -207,11 +209,11 @@
         """End the cold time of targets for which it is over."""
         if now_s < self._next_end_s:
             return
-        for run, cold in list(self._cold_runs.items()):
+        for run, cold in list(self.runs.items()):
             if now_s >= cold.until_s:
                 self._set_warm(run)
         self._next_end_s = min(
-            (cold.until_s for cold in self._cold_runs.values()),
+            (cold.until_s for cold in self.runs.values()),
             default=math.inf,
         )
 
@@ -223,9 +225,25 @@
 
     def _get(self, target: targets.Target) -> _ColdRun | None:
         """Return the state of a cold target whose service has a limit."""
-        if not self._cold_runs or target.service not in self._limits:
+        if not self.runs or target.service not in self._limits:
             return None
-        return self._cold_runs.get(runs_module.get_run(target))
+        return self.runs.get(runs_module.get_run(target))
+
+    def limit_slots(
+        self, target: targets.Target, slots: int, mean_duration_s: float
+    ) -> int:
+        """Return how many slots of a target its permits can keep busy.
+
+        :param target: the target
+        :param slots: how many it has
+        :param mean_duration_s: the mean duration of its service's requests
+        """
+        if self._get(target) is None:
+            return slots
+        permits_per_s = (
+            self._limits[target.service] / permits_const.GRANT_WINDOW_S
+        )
+        return min(slots, max(1, math.floor(permits_per_s * mean_duration_s)))
 
     def is_cold(self, target: targets.Target) -> bool:
         """Return whether requests to a target need permits."""
@@ -244,24 +262,19 @@
         self, service: str, candidates: list[targets.Target]
     ) -> list[targets.Target]:
         """Return the candidates without the cold ones that lack a permit."""
-        self._withheld = []
-        if not self._cold_runs or service not in self._limits:
+        self.withheld = []
+        if not self.runs or service not in self._limits:
             return candidates
         boot_now_s = self.clock.now()
         usable = []
         for target in candidates:
-            cold = self._cold_runs.get(runs_module.get_run(target))
+            cold = self.runs.get(runs_module.get_run(target))
             if cold is None or self._has_permit(cold, boot_now_s):
                 usable.append(target)
             else:
-                self._withheld.append(target)
+                self.withheld.append(target)
         return usable
 
-    @property
-    def withheld(self) -> list[targets.Target]:
-        """Return what the last call of :meth:`withhold` left out."""
-        return self._withheld
-
     def _has_permit(self, cold: _ColdRun, boot_now_s: float) -> bool:
         """Drop the permits that are about to expire, and look for others."""
         ends_s = cold.permit_ends_s
@@ -286,6 +299,16 @@
         self.outcomes['used'] += 1
         return Permit(end_s=cold.permit_ends_s.pop(0), clock=self.clock)
 
+    def is_demand_new(self, service: str, is_blocked: bool) -> bool:
+        """Return whether demand for the withheld targets should be recorded.
+
+        One record is enough until the requests for it are made.
+        """
+        if not self.withheld or self.on_demand is None:
+            return False
+        demand = self._demands.get(service)
+        return demand is None or (is_blocked and not demand.is_blocked)
+
     def record_demand(
         self,
         service: str,
@@ -299,13 +322,12 @@
             take the request, the best one first
         :param is_blocked: whether no other target could take it
         """
-        if not wanted_targets:
+        if not wanted_targets or self.on_demand is None:
             return
         self._demands[service] = _Demand(
             targets=wanted_targets, is_blocked=is_blocked
         )
-        if self.on_demand is not None:
-            self.on_demand()
+        self.on_demand()
 
     def make_requests(
         self,
@@ -358,13 +380,13 @@
         """Return the permits for a service that are held or asked for."""
         count = sum(
             len(cold.permit_ends_s)
-            for cold in self._cold_runs.values()
+            for cold in self.runs.values()
             if cold.target.service == service
             and self._has_permit(cold, boot_now_s)
         )
         answer_by_s = boot_now_s - const.PERMIT_ANSWER_TIMEOUT_S
         for ask in self._asks.values():
-            cold = self._cold_runs.get(ask.run)
+            cold = self.runs.get(ask.run)
             if (
                 cold is not None
                 and cold.target.service == service
@@ -405,7 +427,7 @@
         boot_now_s: float,
     ) -> None:
         run = runs_module.get_run(target)
-        cold = self._cold_runs[run]
+        cold = self.runs[run]
         if cold.awaited_sequence:
             cold.unanswered_count += 1
             self.outcomes['unanswered'] += 1
@@ -434,7 +456,7 @@
         if ask is None or ask.run[0] != grant.target_id:
             self.outcomes['foreign'] += 1
             return False
-        cold = self._cold_runs.get(ask.run)
+        cold = self.runs.get(ask.run)
         if cold is None:
             self.outcomes['expired'] += grant.count
             return False
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -85,10 +85,10 @@
         self._limits_by_service: dict[str, limit_module.ConcurrencyLimit] = {}
         self._consecutive_refusals: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
-        self._groups = groups_module.GroupTracker()
         self.rests = rests_module.Rests()
         self.leaving = leaving_module.LeavingRuns()
         self.cold = permits_module.ColdTargets(failure_domain, boot_clock)
+        self._groups = groups_module.GroupTracker(self.cold)
         self._mean_durations_s: dict[str, float] = {}
         self._report_sequence = 0
 
@@ -177,7 +177,7 @@
         best_candidate = min(
             scored_candidates, key=lambda item: item[:3], default=None
         )
-        if self.cold.withheld:
+        if self.cold.is_demand_new(service, best_candidate is None):
             self._request_permits(service, best_candidate)
         if best_candidate is None:
             return None
@@ -239,15 +239,6 @@
             is_blocked=best_candidate is None,
         )
 
-    def _get_slowdown(self, target: targets.Target) -> float:
-        """Return how many times longer than usual a target takes.
-
-        It is assumed for a cold target whose group doesn't report it.
-        """
-        if self.cold.is_cold(target) and not self._groups.has_slowdown(target):
-            return const.COLD_SLOWDOWN
-        return self._groups.get_slowdown(target)
-
     def _score(
         self, target: targets.Target, load: peers_module.RunningLoad
     ) -> Score:
@@ -259,7 +250,7 @@
         running = load.running + 1
         slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
         return (
-            running * self._get_slowdown(target) / slots,
+            running * self._groups.get_slowdown(target) / slots,
             load.tokens,
             target.failure_domain != self._failure_domain,
             self._rng.random(),
@@ -287,7 +278,7 @@
         if limit is not None:
             max_running = min(max_running, limit.max_requests)
         running = load.running + 1
-        return running * self._get_slowdown(target) <= max_running
+        return running * self._groups.get_slowdown(target) <= max_running
 
     def update_slowdowns(
         self, group_paces: targets.GroupPaces, now_s: float
@@ -372,7 +363,11 @@
             target_count=len(service_targets),
             usable_target_count=len(usable),
             slots=sum(
-                usable_target.slots or const.DEFAULT_SLOTS_PER_TARGET
+                self.cold.limit_slots(
+                    usable_target,
+                    usable_target.slots or const.DEFAULT_SLOTS_PER_TARGET,
+                    self.get_mean_duration_s(service),
+                )
                 for usable_target in usable
             ),
             running=sum(
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -186,6 +186,7 @@
             target_born=choice.target.born_ms,
             running=choice.running,
             candidates=choice.candidate_count,
+            is_cold=permit is not None,
             parts=pending.request.prompt_parts[: const.MAX_LOGGED_PARTS],
             report_age_ms=round(choice.oldest_report_age_s * 1000),
         )
--- a/packages/bambooring/src/bambooring/forwarding/tests/harness.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/harness.py
@@ -83,6 +83,7 @@
             faulty_target='',
             rest_s=float(values[b'rest']) if b'rest' in values else None,
             is_leaving=b'leaving' in values,
+            cold_ms=int(values.get(b'cold', b'0')),
         )
 
     def read_policy(self, document):
--- a/packages/core/src/bambooring_core/http1/tests/test_connections.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_connections.py
@@ -418,6 +418,20 @@
         assert not call.may_have_sent
 
 
+# A suspended machine wrote requests for which its permits had expired.
+def test_request_that_may_not_be_written():
+    """Nothing is sent once the caller forbids it, however late it connects."""
+    handler = RecordingHandler()
+    with _serve(handler) as (reactor, server):
+        response = RecordedResponse()
+        call = _call(reactor, server.port, response)
+        call.may_write = lambda: False
+        _run_until(reactor, lambda: response.failure)
+        assert response.failure == 'not_written'
+        assert not call.may_have_sent
+        assert not handler.exchanges
+
+
 def _fail_without_descriptors(*arguments):
     raise OSError(errno.EMFILE, 'Too many open files')
 
--- a/tests/permit_fleet.py
+++ b/tests/permit_fleet.py
@@ -92,16 +92,16 @@
                 latest_s = 0.6 if is_late else 0.003
                 self.at(self.rng.uniform(0.0005, latest_s), callback)
 
-    def find_highest_count(self, target_id):
-        """Return the most requests that arrived within any one second."""
-        times = sorted(self.arrivals[target_id])
-        window, highest = collections.deque(), 0
-        for arrived_s in times:
-            window.append(arrived_s)
-            while window[0] < arrived_s - permits_const.LIMIT_WINDOW_S:
-                window.popleft()
-            highest = max(highest, len(window))
-        return highest
+
+def find_highest_count(arrivals):
+    """Return the most requests that arrived within any one second."""
+    window, highest = collections.deque(), 0
+    for arrived_s in sorted(arrivals):
+        window.append(arrived_s)
+        while window[0] < arrived_s - permits_const.LIMIT_WINDOW_S:
+            window.popleft()
+        highest = max(highest, len(window))
+    return highest
 
 
 class _Entry:
@@ -168,7 +168,7 @@
         balancer.add_request(target.id, 1)
 
         def write():
-            if permit is None or permit.is_valid():
+            if permit.is_valid():
                 transit_s = self.fleet.rng.choice((0.0005, 0.0014, 0.099))
                 self.fleet.at(transit_s, arrive)
             self.fleet.at(RUN_TIME_S, end)
@@ -181,7 +181,9 @@
         def end():
             balancer.remove_request(target.id, 1)
 
-        connect_s = self.fleet.rng.uniform(0.0005, 0.003)
+        # A lost packet is sent again after 0.2 s.
+        is_late = self.fleet.rng.random() < self.fleet.late_share
+        connect_s = self.fleet.rng.uniform(0.0005, 0.3 if is_late else 0.003)
         self.fleet.at(connect_s, lambda: self._resume(write))
 
     def _send_requests(self):
