Bound what a choice costs while targets are cold

Change: only targets that may be asked now are considered, at most 8 of them, those of the own failure domain first. Ruled out: scoring all of them only when nothing else is free; a crest is just when the cost matters.

--- a/packages/agent/src/bambooring_agent/permits/tests/test_state.py
+++ b/packages/agent/src/bambooring_agent/permits/tests/test_state.py
@@ -30,6 +30,14 @@
     return grant.count if grant else None
 
 
+def _get_refusal_wait_ms(ledger, now_s):
+    """Return for how long a refused instance is told to wait."""
+    grant = ledger.handle(_make_request(), now_s)
+    assert grant is not None
+    assert not grant.count
+    return grant.wait_ms
+
+
 def _take_all(ledger, now_s, **changes):
     """Return how many permits several instances get at one moment."""
     return sum(
@@ -41,8 +49,7 @@
 def test_restarted_agent_waits():
     """Permits of an agent that was killed count with those of the next."""
     ledger = state.PermitLedger(100.0)
-    refusal = ledger.handle(_make_request(), 100.5)
-    assert (refusal.count, refusal.wait_ms) == (0, 850)
+    assert _get_refusal_wait_ms(ledger, 100.5) == 850
     assert _take(ledger, _make_request(2), 100.0 + OPEN_S) == 4
 
 
@@ -104,8 +111,7 @@
     """72 instances at once must not fill a target of five slots for 1 s."""
     ledger = state.PermitLedger(0.0)
     assert _take_all(ledger, OPEN_S) == 8
-    refusal = ledger.handle(_make_request(), OPEN_S + 0.05)
-    assert (refusal.count, refusal.wait_ms) == (0, 150)
+    assert _get_refusal_wait_ms(ledger, OPEN_S + 0.05) == 150
 
 
 def test_memory_is_bounded():
--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -95,6 +95,9 @@
 UNANSWERED_ASKS_LIMIT: typing.Final = 3
 SILENT_AGENT_ASK_INTERVAL_S: typing.Final = 1.0
 
+# How many targets without a permit are compared, to ask some of them.
+DEMAND_TARGETS_MAX: typing.Final = 8
+
 # How many targets are asked at the same time.
 ASKED_TARGETS_MAX: typing.Final = 3
 
--- a/packages/bambooring/src/bambooring/balancing/permits.py
+++ b/packages/bambooring/src/bambooring/balancing/permits.py
@@ -124,8 +124,8 @@
         self.runs: dict[runs_module.Run, _ColdRun] = {}
         self._warm_runs: set[runs_module.Run] = set()
         self._next_end_s = math.inf
-        # What the last call of ``withhold`` left out.
-        self.withheld: list[targets.Target] = []
+        # What the last call of ``withhold`` left out and may be asked for.
+        self._withheld: list[targets.Target] = []
         self._demands: dict[str, _Demand] = {}
         self._asks: dict[int, _Ask] = {}
         self._sequence = 0
@@ -227,7 +227,7 @@
         """Return the state of a cold target whose service has a limit."""
         if not self.runs or target.service not in self._limits:
             return None
-        return self.runs.get(runs_module.get_run(target))
+        return self.runs.get((target.id, target.born_ms))
 
     def limit_slots(
         self, target: targets.Target, slots: int, mean_duration_s: float
@@ -259,22 +259,40 @@
         )
 
     def withhold(
-        self, service: str, candidates: list[targets.Target]
+        self, service: str, candidates: list[targets.Target], now_s: float
     ) -> list[targets.Target]:
         """Return the candidates without the cold ones that lack a permit."""
-        self.withheld = []
+        self._withheld = []
         if not self.runs or service not in self._limits:
             return candidates
         boot_now_s = self.clock.now()
         usable = []
         for target in candidates:
-            cold = self.runs.get(runs_module.get_run(target))
+            cold = self.runs.get((target.id, target.born_ms))
             if cold is None or self._has_permit(cold, boot_now_s):
                 usable.append(target)
-            else:
-                self.withheld.append(target)
+            elif now_s >= cold.ask_from_s:
+                self._withheld.append(target)
         return usable
 
+    def draw_withheld(self, rng: random.Random) -> list[targets.Target]:
+        """Return some withheld targets that may be asked for permits.
+
+        Those in this instance's failure domain come first. A few are enough,
+        and comparing all of them would cost as much as another choice.
+        """
+        count = const.DEMAND_TARGETS_MAX
+        if len(self._withheld) <= count:
+            return self._withheld
+        near: list[targets.Target] = []
+        far: list[targets.Target] = []
+        for target in self._withheld:
+            is_near = target.failure_domain == self._failure_domain
+            (near if is_near else far).append(target)
+        if len(near) >= count:
+            return rng.sample(near, count)
+        return near + rng.sample(far, count - len(near))
+
     def _has_permit(self, cold: _ColdRun, boot_now_s: float) -> bool:
         """Drop the permits that are about to expire, and look for others."""
         ends_s = cold.permit_ends_s
@@ -304,7 +322,7 @@
 
         One record is enough until the requests for it are made.
         """
-        if not self.withheld or self.on_demand is None:
+        if not self._withheld or self.on_demand is None:
             return False
         demand = self._demands.get(service)
         return demand is None or (is_blocked and not demand.is_blocked)
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -215,7 +215,7 @@
             for candidate in available
             if self._health.is_healthy(candidate.id, now_s)
         ]
-        return self.cold.withhold(service, healthy or available)
+        return self.cold.withhold(service, healthy or available, now_s)
 
     def _request_permits(
         self,
@@ -225,7 +225,7 @@
         """Ask for permits if a cold target would be the best choice."""
         scored_targets = [
             (self._score(target, load), target)
-            for target in self.cold.withheld
+            for target in self.cold.draw_withheld(self._rng)
             if self._has_room(target, load := self._sum_load(target.id))
         ]
         if best_candidate is not None:
--- a/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
@@ -47,6 +47,11 @@
         choice = self.balancer.choose('llm', now_s)
         return choice.target.id if choice else None
 
+    def takes_valid_permit(self, target):
+        """Take a permit, and return whether it allows to send."""
+        permit = self.cold.take_permit(target)
+        return permit is not None and permit.is_valid()
+
     def ask(self, queued=1, now_s=0.0):
         """Return the requests for permits that a look brings about."""
         self.choose(now_s)
@@ -88,9 +93,9 @@
     assert instance.grant(request, 2)
     for _ in range(2):
         assert instance.choose() == instance.choose() == '1'
-        assert instance.cold.take_permit(target).is_valid()
+        assert instance.takes_valid_permit(target)
     assert instance.choose() is None
-    assert not instance.cold.take_permit(target).is_valid()
+    assert not instance.takes_valid_permit(target)
 
 
 def test_warm_target_is_chosen_without_a_permit():
@@ -117,6 +122,7 @@
     (request,) = instance.ask()
     instance.grant(request, 1)
     permit = instance.cold.take_permit(target)
+    assert permit is not None
     (request,) = instance.ask(now_s=0.2)
     instance.grant(request, 1)
     instance.clock.advance(TTL_S)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -189,14 +189,14 @@
             requester.set_up()
             requester.set_services([permit_fleet.SERVICE])
             cold.record_announcement(target, reactor.now())
-            assert not cold.withhold('llm', [target])
+            assert not cold.withhold('llm', [target], reactor.now())
             cold.record_demand('llm', [target], is_blocked=True)
             for _ in range(2000):
                 if dispatcher.has_dispatched:
                     break
                 reactor.call_later(0.001, lambda: None)
                 reactor.run_once()
-        assert cold.withhold('llm', [target]) == [target]
+        assert cold.withhold('llm', [target], reactor.now()) == [target]
         assert [cold.take_permit(target).is_valid() for _ in range(3)] == [
             True,
             True,
