--- a/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_decisions.py
@@ -300,22 +300,25 @@
     )
 
 
+def _get_retry_after_s(table, draw):
+    """Return when a caller without a lease in force is told to retry."""
+    result = decisions.admit(table, make_request(), has_lease=False, draw=draw)
+    assert isinstance(result, messages.ErrorResponse)
+    assert result.retry_after_s is not None
+    return result.retry_after_s
+
+
 def test_retry_outlasts_a_lost_control_group():
     """A caller that retried at a neighbour at once was refused again."""
     table = make_table(make_route(policy.RouteKind.IDEMPOTENT))
-    early, late = (
-        decisions.admit(table, make_request(), has_lease=False, draw=draw)
-        for draw in (1.0, 0.0)
-    )
-    assert 2.0 < early.retry_after_s < late.retry_after_s
-    # Callers don't honour more than a third of the time that they have left.
-    assert late.retry_after_s <= make_request().time_left_s / 3
+    early_s = _get_retry_after_s(table, 1.0)
+    late_s = _get_retry_after_s(table, 0.0)
+    # Callers don't honour more than a third of the 8 s that they have left.
+    assert 2.0 < early_s < late_s <= 8.0 / 3
 
 
 def test_retries_at_instances_that_started_are_spread():
     """After a loss of power all callers would come back in one moment."""
-    early, late = (
-        decisions.admit(None, make_request(), has_lease=False, draw=draw)
-        for draw in (0.0, 1.0)
-    )
-    assert late.retry_after_s - early.retry_after_s >= 1.0
+    early_s = _get_retry_after_s(None, 0.0)
+    late_s = _get_retry_after_s(None, 1.0)
+    assert late_s - early_s >= 1.0
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -7,9 +7,11 @@
 from bambooring.balancing import permits as permits_module
 from bambooring.gateway import messages as gateway
 from bambooring.gateway import permits as requester_module
+from bambooring_agent.permits import state as ledger_module
 from bambooring_agent.permits import task as issuer_module
 from bambooring_core import clock as clock_module
 from bambooring_core.permits import const as permits_const
+from bambooring_core.permits import messages
 from bambooring_core import reactor as reactor_module
 from tests import permit_fleet
 
@@ -19,7 +21,8 @@
 
 def _check_limit(fleet):
     for target in fleet.targets:
-        assert fleet.find_highest_count(target.id) <= permit_fleet.LIMIT
+        arrivals = fleet.arrivals[target.id]
+        assert permit_fleet.find_highest_count(arrivals) <= permit_fleet.LIMIT
 
 
 @pytest.mark.parametrize('rate_per_s', [8.0, 14.0])
@@ -56,7 +59,7 @@
     )
     rng = fleet.rng
     fleet.loss = rng.choice((0.0, 0.1, 0.5))
-    fleet.late_share = rng.choice((0.0, 0.1, 0.5))
+    fleet.late_share = rng.choice((0.0, 0.1, 0.9))
 
     def break_something():
         fleet.at(rng.uniform(0.05, 0.8), break_something)
@@ -82,6 +85,39 @@
     assert sum(map(len, fleet.arrivals.values())) > 0
 
 
+@pytest.mark.parametrize('seed', range(20))
+def test_latest_use_before_earliest(seed):
+    """Permits of one spell are used as late as possible, then at once.
+
+    The agent restarts at any moment.
+    """
+    rng = random.Random(seed)
+    now_s, sequence, arrivals = 0.0, 0, []
+    ledger = ledger_module.PermitLedger(now_s)
+    latest_s = permits_const.PERMIT_TTL_S + permits_const.TRANSIT_ALLOWANCE_S
+    while now_s < 30.0:
+        delay_s = rng.choice((0.0, latest_s))
+        if rng.random() < 0.2:
+            ledger = ledger_module.PermitLedger(now_s)
+        end_s = now_s + rng.uniform(0.1, 2.0)
+        while now_s < end_s:
+            now_s += 0.01
+            sequence += 1
+            request = messages.PermitRequest(
+                sender='s',
+                incarnation=1,
+                sequence=sequence,
+                target_id='t',
+                born_ms=1,
+                limit_per_s=permit_fleet.LIMIT,
+                wanted=4,
+            )
+            count = ledger.handle(request, now_s).count
+            arrivals += [now_s + delay_s] * count
+    highest = permit_fleet.find_highest_count(arrivals)
+    assert 0 < highest <= permit_fleet.LIMIT
+
+
 def test_domain_that_is_cut_off_reaches_its_own_agents():
     """Its targets get their rate from its own instances."""
     fleet = permit_fleet.Fleet(
@@ -153,14 +189,14 @@
             requester.set_up()
             requester.set_services([permit_fleet.SERVICE])
             cold.record_announcement(target, reactor.now())
-            assert not cold.withhold('llm', [target])
+            assert not cold.withhold('llm', [target], reactor.now())
             cold.record_demand('llm', [target], is_blocked=True)
             for _ in range(2000):
                 if dispatcher.has_dispatched:
                     break
                 reactor.call_later(0.001, lambda: None)
                 reactor.run_once()
-        assert cold.withhold('llm', [target]) == [target]
+        assert cold.withhold('llm', [target], reactor.now()) == [target]
         assert [cold.take_permit(target).is_valid() for _ in range(3)] == [
             True,
             True,
