Let operators of native clusters evacuate failure domains

Cause: only the gateway processes knew evacuations. Change: `bambooring evacuate [--withdraw] DOMAIN` and POST and DELETE /v1/evacuations/DOMAIN order them; the client resends an order until it is answered. `bambooring status` lists them and marks their targets. Native control replicas send them to entry instances when a link comes up and at each change, and the router leaves their targets out. A new proof runs orders under faults of processes and links; at its end an entry instance restarts. Weighed: the native processes have no list of their failure domains, so any name is accepted, and the number of names is bounded. They have no lease either; an instance learns a missed change with its next link.

--- a/packages/bambooring/src/bambooring/control.py
+++ b/packages/bambooring/src/bambooring/control.py
@@ -13,6 +13,9 @@
 from bambooring.bookings import messages as bookings
 from bambooring.configuration import messages as configuration
 from bambooring import const
+from bambooring.evacuation import const as evacuation_const
+from bambooring.evacuation import messages as evacuation
+from bambooring.evacuation import task as evacuation_task
 from bambooring.operators import api
 from bambooring.operators import const as operators_const
 from bambooring.operators import messages as operators
@@ -42,6 +45,7 @@
         bookings.Claim,
         bookings.Settle,
         bookings.Release,
+        evacuation.Order,
     )
 
     def __init__(
@@ -76,6 +80,10 @@
             make_hub=make_hub,
         )
         self._instance_reports = operators_state.InstanceReports()
+        self._evacuation_publisher = evacuation_task.EvacuationPublisher(
+            get_evacuations=lambda: self._state_machine.evacuation.evacuations,
+            get_entry_links=self._get_entry_links,
+        )
         self._subscriber_revisions: dict[links.Link, int] = {}
         self._status_replies: dict[int, list[operators.StatusReply]] = {}
 
@@ -100,7 +108,11 @@
                 self._hub.keep_connected(address)
         self.set_up_replica()
 
+    def _get_entry_links(self) -> list[links.Link]:
+        return self._hub.get_links(core_const.ROLE_ENTRY)
+
     def _after_flush(self) -> None:
+        self._evacuation_publisher.send_changes()
         self._push_records()
 
     def _push_records(self) -> None:
@@ -114,6 +126,13 @@
                     )
                 )
 
+    def handle_link_up(self, link: links.Link) -> None:
+        """Send a newly linked entry instance what is evacuated."""
+        super().handle_link_up(link)
+        assert link.peer is not None
+        if link.peer.role == core_const.ROLE_ENTRY:
+            self._evacuation_publisher.greet(link)
+
     def handle_link_down(self, link: links.Link) -> None:
         """Remove the subscription of a link that ended."""
         self._subscriber_revisions.pop(link, None)
@@ -153,6 +172,24 @@
         )
         return codec.unpack(data) if data else None
 
+    def order_evacuation(
+        self, order: evacuation.Order
+    ) -> evacuation.Ordered | None:
+        """Propose an order and wait for its reply; for other threads.
+
+        :param order: the order
+        :returns: the reply, None if there was none in time
+        """
+        timeout_s = evacuation_const.ORDER_TIMEOUT_S
+        data = reactor_calls.call_and_wait(
+            self._reactor,
+            lambda reply: self.submit(order, timeout_s, reply),
+            timeout_s + 1,
+        )
+        ordered = codec.unpack(data) if data else None
+        evacuation_task.record_order(order, ordered)
+        return ordered
+
     def list_records(self) -> configuration.Records:
         """Return every record, none if the reactor does not reply in time."""
         all_records: configuration.Records | None = (
@@ -176,7 +213,7 @@
         self._reactor.post(lambda: self._send_leave_order(target_id))
 
     def _send_leave_order(self, target_id: str) -> None:
-        for link in self._hub.get_links(core_const.ROLE_ENTRY):
+        for link in self._get_entry_links():
             link.send(dispatch.Leave(target=target_id))
 
     def get_status(self) -> dict[str, typing.Any]:
@@ -201,7 +238,7 @@
     def _choose_status_links(self) -> list[links.Link]:
         """Return the link of one entry instance for each failure domain."""
         links_by_domain: dict[str, links.Link] = {}
-        for link in self._hub.get_links(core_const.ROLE_ENTRY):
+        for link in self._get_entry_links():
             assert link.peer is not None
             links_by_domain.setdefault(link.peer.failure_domain, link)
         return list(links_by_domain.values())
@@ -221,6 +258,9 @@
             },
             'revision': self._state_machine.records.revision,
             'claims': len(self._state_machine.claims),
+            'evacuated_domains': list(
+                self._state_machine.evacuation.evacuations.failure_domains
+            ),
             'instances': [
                 {
                     'instance': report.instance,
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -26,6 +26,8 @@
 from bambooring import const
 from bambooring.dispatch import messages as dispatch
 from bambooring.dispatch import state as dispatch_state
+from bambooring.evacuation import messages as evacuation
+from bambooring.evacuation import task as evacuation_task
 from bambooring.membership import messages as membership
 from bambooring.membership import state as membership_state
 from bambooring.membership import task as membership_task
@@ -93,6 +95,9 @@
         self._router = routing_state.Router(
             failure_domain=self._identity.failure_domain, rng=rng
         )
+        self._evacuations = evacuation_task.EvacuationReceiver(
+            self._evacuate_domains
+        )
         self._quarantine = quarantine_state.Quarantine()
         self._dispatcher = dispatch_state.Dispatcher(
             router=self._router,
@@ -360,6 +365,9 @@
             return
         self._reactor.stop()
 
+    def _evacuate_domains(self, domains: list[str]) -> None:
+        self._router.evacuated_domains = frozenset(domains)
+
     def _remove_expired_target(
         self, announcement: membership.Announcement
     ) -> None:
@@ -548,6 +556,8 @@
                 link.send(
                     self._record_store.get_records_since(message.revision)
                 )
+            case evacuation.Evacuations():
+                self._evacuations.apply(message, link.name)
             case operators.StatusQuery():
                 link.send(self._describe_targets(message.query))
             case wire.Leave():
--- a/packages/bambooring/src/bambooring/evacuation/task.py
+++ b/packages/bambooring/src/bambooring/evacuation/task.py
@@ -11,6 +11,36 @@
 LOG = structlog.get_logger(__name__)
 
 
+def record_order(
+    order: messages.Order, ordered: messages.Ordered | None
+) -> None:
+    """Log and count an order that was proposed.
+
+    :param order: the order
+    :param ordered: the reply, None if there was none in time
+    """
+    outcome = str(ordered.outcome) if ordered else 'timeout'
+    _record_outcome(order, outcome, ordered.revision if ordered else 0)
+
+
+def record_unknown_domain(order: messages.Order) -> None:
+    """Log and count an order that names no known failure domain."""
+    _record_outcome(order, 'unknown_domain', 0)
+
+
+def _record_outcome(
+    order: messages.Order, outcome: str, revision: int
+) -> None:
+    metrics.EVACUATION_ORDERS.labels(outcome=outcome).inc()
+    LOG.info(
+        'evacuation ordered',
+        domain=order.failure_domain,
+        is_evacuated=order.is_evacuated,
+        outcome=outcome,
+        revision=revision,
+    )
+
+
 class EvacuationPublisher:
     """Send what a control replica knows to the linked entry instances.
 
--- a/packages/bambooring/src/bambooring/gateway/calls.py
+++ b/packages/bambooring/src/bambooring/gateway/calls.py
@@ -10,9 +10,9 @@
 from bambooring.evacuation import errors as evacuation_errors
 from bambooring.evacuation import messages as evacuation
 from bambooring.evacuation import state as evacuation_state
+from bambooring.evacuation import task as evacuation_task
 from bambooring.forwarding import dialect as dialect_module
 from bambooring.gateway import const
-from bambooring import metrics
 from bambooring.policy import messages as policy
 from bambooring.policy import state as policy_state
 from bambooring_core import codec
@@ -133,7 +133,7 @@
                 failure_domain, self._known_domains, self._get_evacuations()
             )
         except evacuation_errors.UnknownDomainError as error:
-            _record_order(order, 'unknown_domain')
+            evacuation_task.record_unknown_domain(order)
             respond(exchange, 404, str(error))
             return
         self._submit(
@@ -148,42 +148,16 @@
         order: evacuation.Order,
         reply: bytes | None,
     ) -> None:
-        if reply is None:
-            _record_order(order, 'timeout')
+        ordered = codec.unpack(reply) if reply else None
+        evacuation_task.record_order(order, ordered)
+        if ordered is None:
             respond(exchange, 503, 'no majority in time')
-            return
-        ordered = codec.unpack(reply)
-        _record_order(
-            order,
-            ordered.outcome,
-            revision=ordered.revision,
-            term=self._get_term(),
-        )
-        if ordered.outcome is evacuation.Outcome.REFUSED:
+        elif ordered.outcome is evacuation.Outcome.REFUSED:
             respond(exchange, 422, 'too many failure domains')
         else:
             respond(exchange, 200, '')
 
 
-def _record_order(
-    order: evacuation.Order, outcome: str, **details: int
-) -> None:
-    """Log and count an order.
-
-    :param order: the order
-    :param outcome: its outcome, as a metric label
-    :param details: further fields of the log line
-    """
-    metrics.EVACUATION_ORDERS.labels(outcome=str(outcome)).inc()
-    LOG.info(
-        'evacuation ordered',
-        domain=order.failure_domain,
-        is_evacuated=order.is_evacuated,
-        outcome=outcome,
-        **details,
-    )
-
-
 def _respond_to_read(
     exchange: http1_server.Exchange, reply: bytes | None
 ) -> None:
--- a/packages/bambooring/src/bambooring/operators/api.py
+++ b/packages/bambooring/src/bambooring/operators/api.py
@@ -12,6 +12,7 @@
 from bambooring.configuration import errors as configuration_errors
 from bambooring.configuration import messages as configuration
 from bambooring.configuration import records
+from bambooring.evacuation import messages as evacuation
 from bambooring.operators import const
 from bambooring_core import bounds
 from bambooring_core import settings
@@ -36,6 +37,15 @@
         :returns: the answer, None if there was none in time
         """
 
+    def order_evacuation(
+        self, order: evacuation.Order
+    ) -> evacuation.Ordered | None:
+        """Propose an order of an evacuation and wait for its reply.
+
+        :param order: the order
+        :returns: the reply, None if there was none in time
+        """
+
     def list_records(self) -> configuration.Records:
         """Return every record, deleted ones too."""
 
@@ -83,6 +93,8 @@
             const.PATH_TARGETS
         ):
             return self._handle_leave(request.path)
+        if request.path.startswith(const.PATH_EVACUATIONS):
+            return self._handle_evacuation(request)
         return _make_error_response(404, 'no_such_call')
 
     def _is_authorized(self, request: Request) -> bool:
@@ -127,6 +139,33 @@
         }
         return _make_json_response(200, body)
 
+    def _handle_evacuation(self, request: Request) -> Response:
+        """Evacuate a failure domain, or with DELETE withdraw it."""
+        domain = request.path[len(const.PATH_EVACUATIONS) :]
+        if request.method not in ('POST', 'DELETE') or '/' in domain:
+            return _make_error_response(404, 'no_such_call')
+        # The path is decoded leniently; no name contains what replaces an
+        # encoding that is not valid.
+        if not bounds.is_text(domain) or '\ufffd' in domain:
+            return _make_error_response(404, 'no_such_domain')
+        ordered = self._backend.order_evacuation(
+            evacuation.Order(
+                failure_domain=domain, is_evacuated=request.method == 'POST'
+            )
+        )
+        if ordered is None:
+            return _make_error_response(503, 'no_answer_yet')
+        if ordered.outcome is evacuation.Outcome.REFUSED:
+            return _make_error_response(422, 'too_many_domains')
+        return _make_json_response(
+            200,
+            {
+                'domain': domain,
+                'outcome': ordered.outcome.value,
+                'revision': ordered.revision,
+            },
+        )
+
     def _handle_leave(self, path: str) -> Response:
         target_id, _, action = path[len(const.PATH_TARGETS) :].partition('/')
         if not target_id or action != 'leave':
--- a/packages/bambooring/src/bambooring/operators/client.py
+++ b/packages/bambooring/src/bambooring/operators/client.py
@@ -7,6 +7,7 @@
 import pathlib
 import time
 import typing
+import urllib.parse
 
 import pycurl
 import voluptuous as vol
@@ -119,12 +120,45 @@
             for difference in differences
         ]
         body = json.dumps({'change': change_id, 'edits': edits}).encode()
+        return self._resend(
+            'POST', const.PATH_CHANGES, body, timeout_s, f'change {change_id}'
+        )
+
+    def order_evacuation(
+        self, domain: str, *, is_withdrawn: bool
+    ) -> dict[str, typing.Any]:
+        """Evacuate a failure domain, or withdraw its evacuation.
+
+        The order is resent until its outcome is known; a repeated one changes
+        nothing.
+
+        :param domain: the failure domain
+        :param is_withdrawn: whether to withdraw the evacuation
+        :returns: the response, with the outcome
+        :raises ResponseError: if the call is refused
+        :raises UnreachableError: if the outcome is not known in time
+        """
+        return self._resend(
+            'DELETE' if is_withdrawn else 'POST',
+            const.PATH_EVACUATIONS + urllib.parse.quote(domain, safe=''),
+            b'',
+            const.EVACUATION_TIMEOUT_S,
+            f'evacuation of {domain}',
+        )
+
+    def _resend(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        description: str,
+    ) -> dict[str, typing.Any]:
+        """Make a call at one replica after the other until one answers it."""
         deadline = time.monotonic() + timeout_s
         for server in itertools.cycle(self._servers):
             try:
-                return self._call_server(
-                    server, 'POST', const.PATH_CHANGES, body
-                )
+                return self._call_server(server, method, path, body)
             except errors.ResponseError as error:
                 if error.status != 503:
                     raise
@@ -133,7 +167,7 @@
             if time.monotonic() > deadline:
                 break
             time.sleep(const.POLL_INTERVAL_S)
-        raise errors.UnreachableError(f'change {change_id}: outcome unknown')
+        raise errors.UnreachableError(f'{description}: outcome unknown')
 
     def poll_lagging_instances(
         self, revision: int, timeout_s: float
--- a/packages/bambooring/src/bambooring/operators/commands.py
+++ b/packages/bambooring/src/bambooring/operators/commands.py
@@ -318,12 +318,16 @@
         f'revision {cluster_status["revision"]},'
         f' {cluster_status["claims"]} claims'
     )
-    for line in _render_status(cluster_status):
+    # Replicas of an earlier release don't report them.
+    evacuated_domains = cluster_status.get('evacuated_domains', [])
+    if evacuated_domains:
+        click.echo(f'evacuated: {", ".join(evacuated_domains)}')
+    for line in _render_status(cluster_status, evacuated_domains):
         click.echo(line)
 
 
 def _render_status(
-    cluster_status: dict[str, typing.Any],
+    cluster_status: dict[str, typing.Any], evacuated_domains: list[str]
 ) -> collections.abc.Iterator[str]:
     rows: list[list[object]] = [
         [
@@ -344,7 +348,7 @@
             status['failure_domain'],
             f'{status["running"]}/{status["slots"]}',
             status['queued'],
-            _describe_target_state(status),
+            _describe_target_state(status, evacuated_domains),
         ]
         for status in cluster_status['targets']
     ]
@@ -352,9 +356,13 @@
     yield from tables.render(header, rows)
 
 
-def _describe_target_state(status: dict[str, typing.Any]) -> str:
+def _describe_target_state(
+    status: dict[str, typing.Any], evacuated_domains: list[str]
+) -> str:
     if status['is_leaving']:
         return 'leaving'
+    if status['failure_domain'] in evacuated_domains:
+        return 'evacuated'
     if not status['is_linked']:
         return 'no link'
     return '' if status['is_ready'] else 'not ready'
@@ -369,6 +377,23 @@
     click.echo(f'{target}: ordered to leave')
 
 
+@main.command()
+@click.argument('domain')
+@_OPERATOR_OPTION
+@click.option(
+    '--withdraw',
+    is_flag=True,
+    help='Send requests to the targets of DOMAIN again.',
+)
+def evacuate(domain: str, operator: pathlib.Path, withdraw: bool) -> None:
+    """Send no new requests to the targets of the failure domain DOMAIN."""
+    answer = _make_client(operator).order_evacuation(
+        domain, is_withdrawn=withdraw
+    )
+    action = 'evacuation withdrawn' if withdraw else 'evacuated'
+    click.echo(f'{domain}: {action}, revision {answer["revision"]}')
+
+
 @main.command()
 @click.argument('request')
 @click.argument('logs', nargs=-1, required=True, type=click.File())
--- a/packages/bambooring/src/bambooring/operators/const.py
+++ b/packages/bambooring/src/bambooring/operators/const.py
@@ -6,6 +6,7 @@
 PATH_RECORDS: typing.Final = '/v1/records'
 PATH_STATUS: typing.Final = '/v1/status'
 PATH_TARGETS: typing.Final = '/v1/targets/'
+PATH_EVACUATIONS: typing.Final = '/v1/evacuations/'
 
 # Time that a control replica has to reply to a request of the API.
 REPLY_TIMEOUT_S: typing.Final = 5.0
@@ -19,6 +20,8 @@
 POLL_INTERVAL_S: typing.Final = 0.2
 # How long a client resends a change whose outcome is not known.
 CHANGE_TIMEOUT_S: typing.Final = 20.0
+# How long a client resends an order of an evacuation.
+EVACUATION_TIMEOUT_S: typing.Final = 10.0
 DEFAULT_IN_FORCE_TIMEOUT_S: typing.Final = 10.0
 
 EXIT_FAILED: typing.Final = 1
--- a/packages/bambooring/src/bambooring/operators/tests/test_api.py
+++ b/packages/bambooring/src/bambooring/operators/tests/test_api.py
@@ -7,6 +7,7 @@
 import pytest
 import werkzeug.test
 
+from bambooring.evacuation import messages as evacuation
 from bambooring.operators import api
 from bambooring_core import settings
 
@@ -62,3 +63,56 @@
 def test_odd_change_is_refused(body):
     """A change that can't be sent to the replicas isn't proposed."""
     assert _post_change(body) == (422, False)
+
+
+def _order(method, path, outcome=evacuation.Outcome.CHANGED):
+    """Send an order; return the status and what the backend got."""
+    backend: typing.Any = mock.Mock()
+    backend.order_evacuation.return_value = outcome and evacuation.Ordered(
+        outcome=outcome, revision=3
+    )
+    client = werkzeug.test.Client(
+        api.Api(backend, [settings.compute_digest(KEY)])
+    )
+    response = client.open(
+        path, method=method, headers={'Authorization': f'Bearer {KEY}'}
+    )
+    return response.status_code, [
+        call.args[0] for call in backend.order_evacuation.call_args_list
+    ]
+
+
+@pytest.mark.parametrize(
+    ('method', 'is_evacuated'), [('POST', True), ('DELETE', False)]
+)
+def test_order_is_proposed(method, is_evacuated):
+    """An order names the failure domain as the operator wrote it."""
+    order = evacuation.Order(failure_domain='a b', is_evacuated=is_evacuated)
+    assert _order(method, '/v1/evacuations/a%20b') == (200, [order])
+
+
+def test_order_without_an_answer_is_resent():
+    """The status lets the command line try the next replica."""
+    assert _order('POST', '/v1/evacuations/a', None)[0] == 503
+
+
+def test_order_beyond_the_limit():
+    """An order that changed nothing isn't reported as carried out."""
+    refused = evacuation.Outcome.REFUSED
+    assert _order('POST', '/v1/evacuations/a', refused)[0] == 422
+
+
+@pytest.mark.parametrize(
+    ('method', 'path'),
+    [
+        ('GET', '/v1/evacuations/a'),
+        ('POST', '/v1/evacuations/'),
+        ('POST', '/v1/evacuations/a/b'),
+        ('POST', '/v1/evacuations/%ff'),
+        ('POST', f'/v1/evacuations/{"x" * 2000}'),
+    ],
+    ids=range(5),
+)
+def test_odd_order_is_refused(method, path):
+    """A name that no message has room for isn't proposed."""
+    assert _order(method, path) == (404, [])
--- a/packages/bambooring/src/bambooring/routing/state.py
+++ b/packages/bambooring/src/bambooring/routing/state.py
@@ -57,6 +57,8 @@
         self._rng = rng
         self.targets: dict[str, Target] = {}
         self._targets_by_service: dict[str, list[Target]] = {}
+        # New attempts are not sent to targets in these failure domains.
+        self.evacuated_domains: frozenset[str] = frozenset()
 
     def register(self, target: Target) -> Target:
         """Add a target, or update the one that is known under its name.
@@ -187,7 +189,9 @@
         usable = [
             target
             for target in self._targets_by_service.get(query.service, ())
-            if target.is_usable and target.name not in query.excluded_targets
+            if target.is_usable
+            and target.failure_domain not in self.evacuated_domains
+            and target.name not in query.excluded_targets
         ]
         if not usable:
             return None
--- a/packages/bambooring/src/bambooring/routing/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/routing/tests/test_state.py
@@ -47,6 +47,18 @@
     assert chosen['target-0'] < 30
 
 
+def test_evacuated_targets_are_not_chosen():
+    """Neither an idle target nor the one of a prefix is an exception."""
+    router = _make_router()
+    router.targets['target-2'].failure_domain = 'amreli'
+    router.evacuated_domains = frozenset(['rajkot'])
+    query = messages.TargetQuery(service='s', prefix_hash=99)
+    names = {router.choose(query, 0.0).name for _ in range(20)}
+    assert names == {'target-2'}
+    router.evacuated_domains = frozenset(['rajkot', 'amreli'])
+    assert router.choose(query, 0.0) is None
+
+
 def test_prefix_stays_at_its_target():
     """A prompt prefix gets the same target, while that isn't too loaded."""
     router = _make_router()
--- a/proofs/__main__.py
+++ b/proofs/__main__.py
@@ -18,6 +18,7 @@
     'answers',
     'refusals',
     'leaving',
+    'evacuation',
     'expert_map',
     'poison',
 )
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -14,6 +14,8 @@
 from bambooring.configuration import state as configuration_state
 from bambooring.dispatch import messages as dispatch_messages
 from bambooring.dispatch import state as dispatch_state
+from bambooring import entry as entry_module
+from bambooring.evacuation import task as evacuation_task
 from bambooring.experts import switch
 from bambooring.quarantine import state as quarantine_state
 from bambooring.replication import state as replication_state
@@ -191,6 +193,29 @@
     assert violations
 
 
+def _ignore_evacuations(self, domains):
+    """Keep sending requests to evacuated failure domains."""
+
+
+def _greet_nobody(self, link):
+    """Send nothing to entry instances whose links come up."""
+
+
+@pytest.mark.parametrize(
+    ('owner', 'guard', 'replacement'),
+    [
+        (entry_module.Entry, '_evacuate_domains', _ignore_evacuations),
+        (evacuation_task.EvacuationPublisher, 'greet', _greet_nobody),
+    ],
+)
+def test_evacuation_fails_without_guard(
+    owner, guard, replacement, monkeypatch
+):
+    """The proof sees an instance that ignores or misses an evacuation."""
+    monkeypatch.setattr(owner, guard, replacement)
+    assert _run_proof('evacuation', 1, 60_000).violations
+
+
 def _ignore_leaving(monkeypatch):
     """Let entry instances use targets that announced leaving."""
     is_usable = property(lambda target: target.is_linked and target.is_ready)
