Serve requests only in the regions that they are bound to

Cause: allowed_regions of routes and client accounts were decoded and not used. Change: at admission the failure domains in the regions that route and account have in common are found. None at all is refused with 403 and the reason no_region, or with 503 without a lease, since a newer policy may say otherwise. Choices, capacity, rests, estimates and the check for evacuated services then count only targets in these domains. A queued request that is bound to full failure domains is passed by others that may go elsewhere; per set of failure domains one queued request is asked about, not each. Weighed: passing regions to the balancer; failure domains need no settings there and are the same check as evacuations. Requests that wait at other instances still count for all regions, as load reports don't tell.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -125,12 +125,12 @@
         )
 
     def _list_targets(
-        self, service: str
-    ) -> collections.abc.Iterator[targets.Target]:
-        """Yield the targets of a service that may get requests."""
-        for target in self._list_announced(service):
-            if not self._domains.is_evacuated(target.failure_domain):
-                yield target
+        self, service: str, allowed_domains: domains_module.Domains
+    ) -> collections.abc.Iterable[targets.Target]:
+        """Return the targets of a service that may get requests."""
+        return self._domains.select(
+            self._list_announced(service), allowed_domains
+        )
 
     def _list_announced(
         self, service: str
@@ -146,18 +146,17 @@
         """Replace the failure domains whose targets get no requests."""
         self._domains.set_evacuated(domains)
 
-    def is_evacuated(self, service: str) -> bool:
-        """Return whether a service lacks targets only by evacuations."""
-        if not self._domains.has_evacuated:
-            return False
-        if self._domains.is_all_evacuated:
-            return True
-        has_left_out = False
-        for target in self._list_announced(service):
-            if not self._domains.is_evacuated(target.failure_domain):
-                return False
-            has_left_out = True
-        return has_left_out
+    def is_evacuated(
+        self, service: str, allowed_domains: domains_module.Domains = None
+    ) -> bool:
+        """Return whether a service lacks targets only by evacuations.
+
+        :param service: the service's name
+        :param allowed_domains: the failure domains whose targets count
+        """
+        return self._domains.lacks_only_evacuated(
+            self._list_announced(service), allowed_domains
+        )
 
     def choose(
         self,
@@ -167,6 +166,7 @@
         *,
         may_probe: bool = True,
         prefers_serving: bool = False,
+        allowed_domains: domains_module.Domains = None,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -179,6 +179,7 @@
             its rest though another one has room
         :param prefers_serving: whether a target that runs requests goes before
             one with nothing to do, which may refuse all that it gets
+        :param allowed_domains: the failure domains to choose from
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -186,7 +187,9 @@
             return None
         if not self._groups.may_send_request(service, now_s):
             return None
-        candidates = self._list_candidates(service, now_s, excluded_ids)
+        candidates = self._list_candidates(
+            service, now_s, excluded_ids, allowed_domains
+        )
         scored_candidates = [
             (
                 not may_probe and self.rests.may_wait_for_probe(target, now_s),
@@ -213,6 +216,7 @@
         service: str,
         now_s: float,
         excluded_ids: collections.abc.Container[str],
+        allowed_domains: domains_module.Domains,
     ) -> list[targets.Target]:
         """Return the healthy targets, or all targets if none is healthy.
 
@@ -222,7 +226,7 @@
         """
         available = [
             target
-            for target in self._list_targets(service)
+            for target in self._list_targets(service, allowed_domains)
             if target.id not in excluded_ids
             and not self._health.is_busy(target.id, now_s)
             and self.rests.may_send(target, now_s)
@@ -344,9 +348,20 @@
             tokens=load.tokens + own_load.tokens,
         )
 
-    def get_capacity(self, service: str, now_s: float) -> ServiceCapacity:
-        """Return a service's capacity, use and number of targets."""
-        service_targets = list(self._list_targets(service))
+    def get_capacity(
+        self,
+        service: str,
+        now_s: float,
+        allowed_domains: domains_module.Domains = None,
+    ) -> ServiceCapacity:
+        """Return a service's capacity, use and number of targets.
+
+        :param service: the service's name
+        :param now_s: the current time in seconds
+        :param allowed_domains: the failure domains whose targets count;
+            requests that wait elsewhere count for all of them
+        """
+        service_targets = list(self._list_targets(service, allowed_domains))
         usable = [
             target
             for target in service_targets
@@ -372,16 +387,18 @@
         service: str,
         now_s: float,
         excluded_ids: collections.abc.Container[str] = (),
+        allowed_domains: domains_module.Domains = None,
     ) -> float | None:
         """Return how long the first target still rests, if all of them do.
 
         :param service: the service's name
         :param now_s: the current time in seconds
         :param excluded_ids: the ids of targets that aren't waited for
+        :param allowed_domains: the failure domains whose targets count
         :returns: the time until then in seconds, None if one doesn't rest
         """
         first_s: float | None = None
-        for target in self._list_targets(service):
+        for target in self._list_targets(service, allowed_domains):
             if target.id in excluded_ids:
                 continue
             remaining_s = self.rests.get_remaining_s(target, now_s)
--- a/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
@@ -1,4 +1,7 @@
-"""Test that targets in evacuated failure domains get no requests."""
+"""Test which failure domains get requests.
+
+Some are evacuated, and some requests are bound to a part of them.
+"""
 
 import random
 
@@ -30,8 +33,8 @@
     return balancer
 
 
-def _choose(balancer, now_s=0.0, excluded=()):
-    choice = balancer.choose('llm', now_s, excluded)
+def _choose(balancer, now_s=0.0, excluded=(), allowed=None):
+    choice = balancer.choose('llm', now_s, excluded, allowed_domains=allowed)
     return choice.target.id if choice else None
 
 
@@ -134,3 +137,49 @@
     assert not balancer.is_evacuated('other')
     balancer.set_evacuated_domains(['a', 'b'])
     assert balancer.is_evacuated('other')
+
+
+def test_bound_request_stays_in_its_domains():
+    """An idle target elsewhere is no reason to leave the allowed regions."""
+    balancer = _make_balancer()
+    balancer.add_request('in-c', 1)
+    bound = frozenset('c')
+    assert _choose(balancer, allowed=bound) == 'in-c'
+    assert _choose(balancer, excluded=('in-c',), allowed=bound) is None
+
+
+def test_ejected_target_does_not_lift_the_bound():
+    """If no allowed target is healthy, one of them is tried anyway."""
+    balancer = _make_balancer()
+    balancer.record_failure('in-c', 0.0)
+    assert _choose(balancer, allowed=frozenset('c')) == 'in-c'
+
+
+def test_capacity_counts_allowed_domains():
+    """Slots elsewhere don't make a request wait that can't use them."""
+    balancer = _make_balancer()
+    balancer.add_request('in-a', 1)
+    capacity = balancer.get_capacity('llm', 0.0, frozenset('bc'))
+    assert (capacity.target_count, capacity.slots) == (2, 12)
+    assert capacity.running == 0
+
+
+def test_rests_count_in_allowed_domains():
+    """A target that is awake elsewhere doesn't shorten the wait."""
+    balancer = _make_balancer()
+    balancer.rests.begin(_make_target('in-b', 'b'), 2.0, 0.0)
+    wait_s = balancer.get_rest_wait_s(
+        'llm', 0.0, allowed_domains=frozenset('b')
+    )
+    assert wait_s == 2.0
+
+
+def test_allowed_domains_all_evacuated():
+    """A request whose regions are all evacuated doesn't wait for others."""
+    balancer = _make_balancer()
+    balancer.set_evacuated_domains(['b'])
+    assert balancer.is_evacuated('llm', frozenset('b'))
+    assert not balancer.is_evacuated('llm', frozenset('bc'))
+    assert not balancer.is_evacuated('llm')
+    assert _choose(balancer, allowed=frozenset('b')) is None
+    assert _choose(balancer, allowed=frozenset('bc')) == 'in-c'
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -118,6 +118,7 @@
     DECODER_FAULT = 'decoder_fault'
     NO_ROUTE = 'no_route'
     UNKNOWN_KEY = 'unknown_key'
+    NO_REGION = 'no_region'
     NO_POLICY = 'no_policy'
     NO_LEASE = 'no_lease'
     NO_TARGET = 'no_target'
--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -4,11 +4,14 @@
 carry out what is decided.
 """
 
+import collections.abc
 import dataclasses
+import types
 
 from bambooring.balancing import state as balancing
 from bambooring.forwarding import const
 from bambooring.forwarding import messages
+from bambooring.forwarding import regions
 from bambooring.policy import messages as policy
 from bambooring.policy import state as policy_state
 
@@ -18,10 +21,12 @@
     """The route and the client account of an admitted request.
 
     ``account`` is None if the route or the policy requires no API key.
+    ``allowed_domains`` are the failure domains that may serve the request.
     """
 
     route: policy.Route
     account: policy.Account | None
+    allowed_domains: regions.Domains = None
 
 
 def admit(
@@ -29,6 +34,9 @@
     request: messages.CallerRequest,
     *,
     has_lease: bool,
+    regions_by_domain: collections.abc.Mapping[
+        str, str
+    ] = types.MappingProxyType({}),
 ) -> Admission | messages.ErrorResponse:
     """Find the route and the account of a request in the policy in force.
 
@@ -39,6 +47,7 @@
     :param policy_table: the policy in force, None if none is known yet
     :param request: the request
     :param has_lease: whether the policy is known to be the newest
+    :param regions_by_domain: the region of each failure domain
     :returns: the admission, or the error response for the caller
     """
     if policy_table is None:
@@ -49,7 +58,9 @@
             return _reject_unexecuted(const.Reason.NO_LEASE)
         return messages.ErrorResponse(status=404, reason=const.Reason.NO_ROUTE)
     if route.is_anonymous or not policy_table.has_accounts:
-        return Admission(route=route, account=None)
+        return _admit_in_regions(
+            route, None, regions_by_domain, has_lease=has_lease
+        )
     if not has_lease:
         return _reject_unexecuted(const.Reason.NO_LEASE)
     account = (
@@ -59,7 +70,29 @@
         return messages.ErrorResponse(
             status=401, reason=const.Reason.UNKNOWN_KEY
         )
-    return Admission(route=route, account=account)
+    return _admit_in_regions(
+        route, account, regions_by_domain, has_lease=has_lease
+    )
+
+
+def _admit_in_regions(
+    route: policy.Route,
+    account: policy.Account | None,
+    regions_by_domain: collections.abc.Mapping[str, str],
+    *,
+    has_lease: bool,
+) -> Admission | messages.ErrorResponse:
+    """Admit a request unless there is no region where it may be served."""
+    allowed_domains = regions.find_allowed_domains(
+        route, account, regions_by_domain
+    )
+    if allowed_domains is None or allowed_domains:
+        return Admission(
+            route=route, account=account, allowed_domains=allowed_domains
+        )
+    if not has_lease:
+        return _reject_unexecuted(const.Reason.NO_LEASE)
+    return messages.ErrorResponse(status=403, reason=const.Reason.NO_REGION)
 
 
 def _reject_unexecuted(reason: const.Reason) -> messages.ErrorResponse:
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -16,6 +16,7 @@
 from bambooring.forwarding import const
 from bambooring.forwarding import decisions
 from bambooring.forwarding import messages
+from bambooring.forwarding import regions
 from bambooring.routing import budget as budget_module
 from bambooring_core import reactor as reactor_module
 
@@ -75,10 +76,14 @@
         now_s = self._reactor.now()
         queue_key = pending.get_queue_key(now_s)
         ahead = [
-            other for other in queue if other.get_queue_key(now_s) < queue_key
+            other
+            for other in queue
+            if other.get_queue_key(now_s) < queue_key
+            and regions.may_compete(
+                other.allowed_domains, pending.allowed_domains
+            )
         ]
-        is_held_up = any(self._holds_up_others(other) for other in ahead)
-        if not is_held_up and self._try_dispatch(pending):
+        if not self._is_held_up(ahead) and self._try_dispatch(pending):
             return
         if decision.status is crashes.Status.PROBE:
             # Probes that waited would all be sent at once.
@@ -90,7 +95,7 @@
         ):
             pending.give_up(const.Reason.GROUP_BROKEN)
             return
-        if self._balancer.is_evacuated(pending.service):
+        if self._is_evacuated(pending):
             pending.give_up(const.Reason.NO_TARGET)
             return
         if self.refuse_for_rests(pending):
@@ -117,14 +122,38 @@
             ),
         )
 
-    def _holds_up_others(
-        self, queued: 'pending_request.PendingRequest'
+    def _is_held_up(
+        self, ahead: list['pending_request.PendingRequest']
     ) -> bool:
-        """Return whether requests behind a queued one wait for it.
+        """Return whether a request waits for others that are queued.
 
-        One that no untried target may take yet is passed by others.
+        One that no untried target may take yet is passed by others, and so is
+        one bound to failure domains that have no room.
         """
-        return not queued.tried_targets or self.may_dispatch(queued)
+        full_domains: set[regions.Domains] = set()
+        for queued in ahead:
+            if not queued.tried_targets:
+                if queued.allowed_domains is None:
+                    return True
+                if queued.allowed_domains in full_domains:
+                    continue
+                full_domains.add(queued.allowed_domains)
+            if self.may_dispatch(queued):
+                return True
+        return False
+
+    def _is_evacuated(self, pending: 'pending_request.PendingRequest') -> bool:
+        return self._balancer.is_evacuated(
+            pending.service, pending.allowed_domains
+        )
+
+    def _get_capacity(
+        self, pending: 'pending_request.PendingRequest', now_s: float
+    ) -> balancing.ServiceCapacity:
+        """Return the capacity of the targets that may serve a request."""
+        return self._balancer.get_capacity(
+            pending.service, now_s, pending.allowed_domains
+        )
 
     def _append_to_queue(
         self, pending: 'pending_request.PendingRequest', deadline_s: float
@@ -155,7 +184,10 @@
         self, pending: 'pending_request.PendingRequest'
     ) -> float | None:
         return self._balancer.get_rest_wait_s(
-            pending.service, self._reactor.now(), pending.tried_targets
+            pending.service,
+            self._reactor.now(),
+            pending.tried_targets,
+            pending.allowed_domains,
         )
 
     def refuse_for_rests(
@@ -220,7 +252,7 @@
         service = pending.service
         if self._get_rest_wait_s(pending) is not None:
             return const.Reason.TARGETS_REST
-        if not self._balancer.get_capacity(service, now_s).usable_target_count:
+        if not self._get_capacity(pending, now_s).usable_target_count:
             return const.Reason.NO_TARGET
         if self._balancer.is_group_broken(service):
             return const.Reason.GROUP_BROKEN
@@ -236,7 +268,7 @@
     ) -> decisions.WaitEstimate:
         now_s = self._reactor.now()
         return decisions.estimate_wait(
-            self._balancer.get_capacity(service, now_s),
+            self._get_capacity(pending, now_s),
             queued_ahead=queued_ahead,
             mean_duration_s=self._balancer.get_mean_duration_s(service),
             time_left_s=pending.get_time_left_s(),
@@ -268,6 +300,7 @@
             may_probe=not pending.progress.attempt_count
             and self._budget.has_reserve(now_s),
             prefers_serving=pending.progress.resting_count > 0,
+            allowed_domains=pending.allowed_domains,
         )
 
     def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
@@ -316,7 +349,7 @@
         """Return why a queued request is given up now, None if it isn't."""
         if not self._may_start(pending):
             return const.Reason.STOPPING
-        if self._balancer.is_evacuated(pending.service):
+        if self._is_evacuated(pending):
             return const.Reason.NO_TARGET
         if now_s >= pending.queue_deadline_s:
             return self._get_reject_reason(pending, now_s)
@@ -333,15 +366,22 @@
         :returns: whether there was one
         """
         now_s = self._reactor.now()
+        full_domains: set[regions.Domains] = set()
         for pending in queue:
+            is_untried = not pending.tried_targets
+            if is_untried and pending.allowed_domains in full_domains:
+                continue
             choice = self._choose(pending, now_s)
             if choice is not None:
                 queue.remove(pending)
                 pending.send_to_target(choice)
                 return True
-            if not pending.tried_targets:
-                # Any target would do, so there is none for the others either.
-                return False
+            if is_untried:
+                if pending.allowed_domains is None:
+                    # Any target would do, so there is none for the others
+                    # either.
+                    return False
+                full_domains.add(pending.allowed_domains)
         return False
 
     def remove_from_queue(
@@ -376,7 +416,7 @@
             spread_s = self._balancer.get_mean_duration_s(service)
             wait_s = rest_wait_s + self._rng.uniform(0.0, spread_s)
             return max(wait_s, const.RETRY_AFTER_MIN_S)
-        capacity = self._balancer.get_capacity(service, now_s)
+        capacity = self._get_capacity(pending, now_s)
         if not capacity.usable_target_count or self._balancer.is_unavailable(
             service, now_s
         ):
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -47,6 +47,7 @@
         self.request = request
         self.route = admission.route
         self.account = admission.account
+        self.allowed_domains = admission.allowed_domains
         self.service = service
         # The keys under which the result is counted.
         self._fairness_keys = [
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import random
+import types
 
 import structlog
 
@@ -56,6 +57,9 @@
         crash_guard: crashes_task.CrashGuard,
         rng: random.Random,
         schedule_load_report: collections.abc.Callable[[float], None],
+        regions_by_domain: collections.abc.Mapping[
+            str, str
+        ] = types.MappingProxyType({}),
         make_call: client.CallFactory = client.Call,
     ) -> None:
         self.reactor = reactor
@@ -64,6 +68,7 @@
         self.event_log = stalls.EventLog()
         self.event_format = events.EventFormat(dialect.event_fields)
         self.policy_table: policy_state.PolicyTable | None = None
+        self.regions_by_domain = regions_by_domain
         self._dialect = dialect
         self._lease = lease
         self._lease_clock = lease_clock
@@ -115,6 +120,7 @@
             self.policy_table,
             request,
             has_lease=self._lease.is_valid(lease_now_s),
+            regions_by_domain=self.regions_by_domain,
         )
         if isinstance(result, messages.ErrorResponse):
             self._reject(exchange, request.attempt_id, result)
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -91,6 +91,7 @@
             crash_guard=self._crash_guard,
             rng=rng,
             schedule_load_report=self._schedule_load_report,
+            regions_by_domain=settings.regions_by_domain,
         )
         self._load_reporter = loads_task.LoadReporter(
             reactor=reactor,
