--- a/packages/bambooring/src/bambooring/forwarding/decisions.py
+++ b/packages/bambooring/src/bambooring/forwarding/decisions.py
@@ -4,11 +4,14 @@
 carry out what is decided.
 """
 
+import collections.abc
 import dataclasses
+import types
 
 from bambooring.balancing import state as balancing
 from bambooring.forwarding import const
 from bambooring.forwarding import messages
+from bambooring.forwarding import regions
 from bambooring.policy import messages as policy
 from bambooring.policy import state as policy_state
 
@@ -18,10 +21,12 @@
     """The route and the client account of an admitted request.
 
     ``account`` is None if the route or the policy requires no API key.
+    ``allowed_domains`` are the failure domains that may serve the request.
     """
 
     route: policy.Route
     account: policy.Account | None
+    allowed_domains: regions.Domains = None
 
 
 def admit(
@@ -30,6 +35,9 @@
     *,
     has_lease: bool,
     draw: float = 0.0,
+    regions_by_domain: collections.abc.Mapping[
+        str, str
+    ] = types.MappingProxyType({}),
 ) -> Admission | messages.ErrorResponse:
     """Find the route and the account of a request in the policy in force.
 
@@ -41,6 +49,7 @@
     :param request: the request
     :param has_lease: whether the policy is known to be the newest
     :param draw: a random number from 0 to 1, which spreads retries
+    :param regions_by_domain: the region of each failure domain
     :returns: the admission, or the error response for the caller
     """
     if policy_table is None:
@@ -51,7 +60,14 @@
             return _reject_without_lease(request, draw)
         return messages.ErrorResponse(status=404, reason=const.Reason.NO_ROUTE)
     if route.is_anonymous or not policy_table.has_accounts:
-        return Admission(route=route, account=None)
+        return _admit_in_regions(
+            route,
+            None,
+            regions_by_domain,
+            lease_error=None
+            if has_lease
+            else _reject_without_lease(request, draw),
+        )
     if not has_lease:
         return _reject_without_lease(request, draw)
     account = (
@@ -61,7 +77,33 @@
         return messages.ErrorResponse(
             status=401, reason=const.Reason.UNKNOWN_KEY
         )
-    return Admission(route=route, account=account)
+    return _admit_in_regions(route, account, regions_by_domain)
+
+
+def _admit_in_regions(
+    route: policy.Route,
+    account: policy.Account | None,
+    regions_by_domain: collections.abc.Mapping[str, str],
+    lease_error: messages.ErrorResponse | None = None,
+) -> Admission | messages.ErrorResponse:
+    """Admit a request unless there is no region where it may be served.
+
+    :param route: its route
+    :param account: its client account, if it has one
+    :param regions_by_domain: the region of each failure domain
+    :param lease_error: the response if the policy may not be the newest, by
+        which a region may be allowed
+    """
+    allowed_domains = regions.find_allowed_domains(
+        route, account, regions_by_domain
+    )
+    if allowed_domains is None or allowed_domains:
+        return Admission(
+            route=route, account=account, allowed_domains=allowed_domains
+        )
+    if lease_error is not None:
+        return lease_error
+    return messages.ErrorResponse(status=403, reason=const.Reason.NO_REGION)
 
 
 def _reject_without_policy(draw: float) -> messages.ErrorResponse:
