Decide which requests leave their failure domain

Cause: a request went to the least loaded target anywhere; its failure domain only broke ties, after the unread tokens, which are hardly ever equal. So about two thirds of all requests crossed between domains.

Change (with Settings.prefers_own_domain only): for plain targets each instance computes, at most every 0.1 s, the load of each domain (what its callers have running and waiting, wherever it runs) and its slots. Domains above the mean load per slot send what they can't serve as well as the others, domains below it receive. A sender keeps as much above the mean as leaving costs: the way there and back and the price of the bytes. A request that finds the slots at home taken leaves for a free slot once waiting at home costs more. Ranks of a group are still chosen by running requests per slot; another domain counts as a tenth of a request, as much as 2,000 unread tokens, so it decides between equally loaded ranks only.

Weighed for ranks: a request that leaves costs two ways of 1.4 ms and some kB, once. One more request on the most loaded rank delays each pass of all streams of the group: with 32 ranks of 5 slots and streams of 50 events the 2.8 ms are lost if a pass takes 0.35 us longer, so evenness goes first. Ruled out: load by where requests run (it changes with the decisions, and domains with delayed views then chase each other), and a least-cost choice on instantaneous counts alone (no share to log, and it acts on noise).

An idle instance reports its load too, so that silence means cut off. The load of a silent domain is unknown; nothing is sent there by share.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -89,3 +89,44 @@
 
 # Changes of ejections by others' word that are kept until they are logged.
 MAX_HEALTH_CHANGES: typing.Final = 64
+
+# The assumed delay between two failure domains of a region, one way. Those of
+# the known deployments are 1.4 and 0.5 ms; it isn't measured.
+DOMAIN_DELAY_S: typing.Final = 0.0014
+
+# How often the share of a service that leaves a failure domain is computed,
+# and how fast the share in use follows it.
+SPILL_INTERVAL_S: typing.Final = 0.1
+SPILL_TIME_CONSTANT_S: typing.Final = 0.3
+
+# No request leaves by a share below the first, and none any more below the
+# second: such shares come from the noise of the counts. Requests that find
+# all slots taken leave all the same.
+MIN_NEW_SHARE: typing.Final = 0.05
+MIN_KEPT_SHARE: typing.Final = 0.02
+
+# A share is logged when it has changed by this much.
+MATERIAL_SHARE_CHANGE: typing.Final = 0.1
+MAX_SHARE_CHANGES: typing.Final = 32
+
+# Weight of the newest sample in the mean duration and size of requests.
+SPILL_EWMA_WEIGHT: typing.Final = 0.1
+# A failure domain counts as slow if its requests take this much longer.
+MIN_SLOWNESS: typing.Final = 1.5
+
+# The load per slot from which on each further request waits for a whole one.
+SATURATED_LOAD: typing.Final = 0.95
+# Halvings of an interval, to below a thousandth of a request per slot.
+LEVEL_STEPS: typing.Final = 14
+
+# A request that costs more than the mean by this factor leaves only if its own
+# wait is worth it.
+LARGE_PRICE_RATIO: typing.Final = 2.0
+
+# Between targets of a model group another failure domain counts as this part
+# of a request, and so do this many unread tokens. All of it together is less
+# than a request, so it decides between ranks that are equally loaded and never
+# adds a request to a rank.
+GROUP_TIE_TOLERANCE: typing.Final = 0.1
+GROUP_TIE_TOKENS: typing.Final = 2000
+MAX_TIE_FACTOR: typing.Final = 3.0
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -22,6 +22,7 @@
 from bambooring.balancing import peer_health as peer_health_module
 from bambooring.balancing import rests as rests_module
 from bambooring.balancing import runs as runs_module
+from bambooring.balancing import spill as spill_module
 from bambooring.loads import peers as peers_module
 from bambooring.loads import state as loads_state
 from bambooring.targets import messages as targets
@@ -72,6 +73,8 @@
         *,
         own_address: str = '',
         shares_health: bool = False,
+        prefers_own_domain: bool = False,
+        byte_cost_s_per_mb: float = 0.0,
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
@@ -84,6 +87,10 @@
             self.peer_health = peer_health_module.PeerHealth(
                 own_address, failure_domain, self.loads.suspicions
             )
+        self.spill: spill_module.Spill | None = None
+        if prefers_own_domain and failure_domain:
+            self.spill = spill_module.Spill(failure_domain, byte_cost_s_per_mb)
+        self._waiting_by_service: dict[str, int] = {}
         self._limits_by_service: dict[str, limit_module.ConcurrencyLimit] = {}
         self._consecutive_refusals: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
@@ -147,6 +154,8 @@
         *,
         may_probe: bool = True,
         prefers_serving: bool = False,
+        request_bytes: int = 0,
+        waited_s: float = 0.0,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -159,6 +168,8 @@
             its rest though another one has room
         :param prefers_serving: whether a target that runs requests goes before
             one with nothing to do, which may refuse all that it gets
+        :param request_bytes: the size of the request
+        :param waited_s: how long it has waited here, in seconds
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -169,6 +180,22 @@
         if not self._groups.may_send_request(service, now_s):
             return None
         candidates = self._list_candidates(service, now_s, excluded_ids)
+        loaded = [
+            (target, load)
+            for target in candidates
+            if self._has_room(target, load := self._sum_load(target.id))
+        ]
+        if self.spill is not None:
+            self._update_spill(service, now_s)
+            loaded = self.spill.select(
+                service,
+                candidates,
+                loaded,
+                request_bytes=request_bytes,
+                waited_s=waited_s,
+                duration_s=self.get_mean_duration_s(service),
+                rng=self._rng,
+            )
         scored_candidates = [
             (
                 not may_probe and self._may_be_put_off(target, now_s),
@@ -176,8 +203,7 @@
                 self._score(target, load),
                 target,
             )
-            for target in candidates
-            if self._has_room(target, load := self._sum_load(target.id))
+            for target, load in loaded
         ]
         if not scored_candidates:
             return None
@@ -245,6 +271,8 @@
         per_slot = running * self._groups.get_slowdown(target) / slots
         if self.peer_health is not None:
             per_slot += self.peer_health.get_penalty(target)
+        if self.spill is not None and target.group:
+            per_slot += self.spill.get_tie_breaker(target, load.tokens)
         return (
             per_slot,
             load.tokens,
@@ -252,6 +280,39 @@
             self._rng.random(),
         )
 
+    def _update_spill(self, service: str, now_s: float) -> None:
+        """Compute anew which requests of a service leave, if that is due.
+
+        Targets of a model group are chosen by their load alone.
+        """
+        if self.spill is None or not self.spill.is_due(service, now_s):
+            return
+        if any(target.group for target in self._list_targets(service)):
+            return
+        service_targets = list(self._list_targets(service))
+        self.spill.update(
+            service,
+            [
+                (target, self._get_effective_slots(target))
+                for target in service_targets
+                if self._is_healthy(target, now_s)
+                and self.rests.may_send(target, now_s)
+            ],
+            self.loads,
+            own_demand=self._waiting_by_service.get(service, 0)
+            + sum(
+                self._own_loads[target.id].running
+                for target in service_targets
+                if target.id in self._own_loads
+            ),
+            duration_s=self.get_mean_duration_s(service),
+            now_s=now_s,
+        )
+
+    def _get_effective_slots(self, target: targets.Target) -> float:
+        slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+        return slots / self._groups.get_slowdown(target)
+
     def _serves_with_room(
         self, target: targets.Target, load: peers_module.RunningLoad
     ) -> bool:
@@ -436,6 +497,7 @@
         service: str,
         duration_s: float,
         now_s: float = 0.0,
+        size_bytes: int = 0,
     ) -> None:
         """Record a complete response; the target is healthy again.
 
@@ -444,11 +506,14 @@
         :param duration_s: the time from sending the request to the end of
             the response, in seconds
         :param now_s: the current time in seconds, used for shared health only
+        :param size_bytes: the size of the request and its response
         """
         self._health.record_success(target_id)
         target = self._find_target(target_id)
         if self.peer_health is not None and target is not None:
             self.peer_health.record_success(target, now_s - duration_s, now_s)
+        if self.spill is not None and target is not None:
+            self.spill.record_response(target, duration_s, size_bytes)
         mean_s = self._mean_durations_s.get(service, duration_s)
         mean_s += const.DURATION_EWMA_WEIGHT * (duration_s - mean_s)
         self._mean_durations_s[service] = mean_s
@@ -525,6 +590,11 @@
                 self.peer_health.record_failure(target, ejection_s, now_s)
         return ejection_s
 
+    def classify_domain(self, target: targets.Target) -> str:
+        """Return whether a target is in the 'own' or an 'other' domain."""
+        is_own = target.failure_domain == self._failure_domain
+        return 'own' if is_own else 'other'
+
     def set_instances(
         self, domains_by_address: collections.abc.Mapping[str, str]
     ) -> None:
@@ -534,6 +604,8 @@
         """
         if self.peer_health is not None:
             self.peer_health.set_instances(domains_by_address)
+        if self.spill is not None:
+            self.spill.set_instances(domains_by_address)
 
     def refresh_health(
         self, now_s: float
@@ -572,6 +644,7 @@
         :param waiting: by service, how many requests wait here
         """
         self._report_sequence += 1
+        self._waiting_by_service = waiting
         return targets.Load(
             sender=sender,
             incarnation=incarnation,
--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -93,6 +93,7 @@
         self.response: messages.TargetResponse | None = None
         # Whether the end of the response shows without the connection's.
         self.has_length = True
+        self.received_bytes = 0
         self.buffered_body = bytearray()
         self._scanner = second_answers.BodyScanner(
             request.attempt_id, listener.read_response_head
@@ -221,6 +222,7 @@
         """
         if self.is_over:
             return
+        self.received_bytes += len(data)
         if self.stream is not None:
             self._listener.forward_data(self, data)
             return
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -265,6 +265,8 @@
             may_probe=not pending.progress.attempt_count
             and self._budget.has_reserve(now_s),
             prefers_serving=pending.progress.resting_count > 0,
+            request_bytes=len(pending.request.body),
+            waited_s=now_s - pending.admitted_s,
         )
 
     def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -369,7 +369,11 @@
     def _record_success(self, attempt: attempt_module.Attempt) -> None:
         now_s = self._forwarder.reactor.now()
         self._forwarder.balancer.record_success(
-            attempt.target.id, self.service, now_s - attempt.began_s, now_s
+            attempt.target.id,
+            self.service,
+            now_s - attempt.began_s,
+            now_s,
+            len(self.request.body) + attempt.received_bytes,
         )
 
     def _complete_response(
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -176,6 +176,9 @@
             choice.target, attempt.attempt_id, self.reactor.now()
         )
         self.report_load()
+        metrics.DOMAIN_REQUESTS.labels(
+            domain=self.balancer.classify_domain(choice.target)
+        ).inc()
         LOG.info(
             'request sent to target',
             request=pending.request.attempt_id,
--- a/packages/bambooring/src/bambooring/gateway/beliefs.py
+++ b/packages/bambooring/src/bambooring/gateway/beliefs.py
@@ -5,6 +5,7 @@
 import structlog
 
 from bambooring.balancing import peer_health as peer_health_module
+from bambooring.balancing import spill as spill_module
 from bambooring import metrics
 
 LOG = structlog.get_logger(__name__)
@@ -26,3 +27,31 @@
             is_prober=change.is_prober,
             report_age_ms=round(change.report_age_s * 1000),
         )
+
+
+def log_share_changes(spill: spill_module.Spill | None) -> None:
+    """Log which services send another share to other failure domains."""
+    if spill is None:
+        return
+    for change in spill.take_changes():
+        LOG.info(
+            'share of requests that leaves changed',
+            service=change.service,
+            share=round(change.share, 2),
+            to={
+                domain: round(weight, 2)
+                for domain, weight in change.weights.items()
+            },
+            slots={
+                domain: round(view.capacity, 1)
+                for domain, view in change.views.items()
+            },
+            load={
+                domain: round(view.demand, 1) if view.is_known else None
+                for domain, view in change.views.items()
+            },
+            price_ms=round(change.price_s * 1000, 1),
+            report_age_ms=round(change.report_age_s * 1000),
+        )
+    for service, share in spill.list_shares():
+        metrics.LEAVING_SHARE.labels(service=service).set(share)
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -74,6 +74,8 @@
             rng,
             own_address=settings.link_address,
             shares_health=settings.shares_health,
+            prefers_own_domain=settings.prefers_own_domain,
+            byte_cost_s_per_mb=settings.byte_cost_s_per_mb,
         )
         self._budget = budget_module.RetryBudget(reactor.now())
         self._crash_guard = crashes_task.CrashGuard(
@@ -436,6 +438,7 @@
         beliefs.log_health_changes(
             self._balancer.refresh_health(self._reactor.now())
         )
+        beliefs.log_share_changes(self._balancer.spill)
         limits = self._balancer.adjust_limits()
         if limits != self._logged_limits:
             for service, limit in limits.items():
@@ -461,6 +464,8 @@
         return (
             self._balancer.has_running_requests
             or self._balancer.has_health_news
+            # A failure domain that says nothing counts as cut off.
+            or self._settings.prefers_own_domain
             or self.forwarder.pending_count > 0
         )
 
--- a/packages/bambooring/src/bambooring/loads/peers.py
+++ b/packages/bambooring/src/bambooring/loads/peers.py
@@ -126,6 +126,25 @@
             for service in report.service_loads
         }
 
+    def list_demand(
+        self, service: str, target_ids: collections.abc.Container[str]
+    ) -> collections.abc.Iterator[tuple[str, int]]:
+        """Yield what each instance has running and waiting of a service.
+
+        :param service: the service's name
+        :param target_ids: its targets
+        :returns: each sender and its number of requests
+        """
+        for sender, report in self._reports.items():
+            service_load = report.service_loads.get(service)
+            running = sum(
+                entry.running
+                for entry in report.target_loads
+                if entry.target in target_ids
+            )
+            waiting = service_load.waiting if service_load is not None else 0
+            yield sender, running + waiting
+
     def list_service_loads(
         self, service: str
     ) -> collections.abc.Iterator[targets.ServiceLoad]:
--- a/packages/bambooring/src/bambooring/loads/state.py
+++ b/packages/bambooring/src/bambooring/loads/state.py
@@ -85,6 +85,20 @@
             total.waiting for total in remote
         )
 
+    def list_demand(
+        self, service: str, target_ids: collections.abc.Collection[str]
+    ) -> collections.abc.Iterator[tuple[str, int]]:
+        """Yield what others have running and waiting of a service.
+
+        :param service: the service's name
+        :param target_ids: its targets
+        :returns: the address of an instance, or the name of another failure
+            domain, and its number of requests
+        """
+        yield from self._peers.list_demand(service, target_ids)
+        keys = [summaries.compute_target_key(item) for item in target_ids]
+        yield from self._remote.list_demand(service, keys)
+
     def list_gaps_s(self, service: str) -> collections.abc.Iterator[float]:
         """Yield the mean gap that each other instance with streams has.
 
--- a/packages/bambooring/src/bambooring/loads/summaries.py
+++ b/packages/bambooring/src/bambooring/loads/summaries.py
@@ -217,6 +217,23 @@
         ages = (now_s - domain.made_s for domain in self._domains.values())
         return max(ages, default=0.0)
 
+    def list_demand(
+        self, service: str, keys: collections.abc.Iterable[int]
+    ) -> collections.abc.Iterator[tuple[str, int]]:
+        """Yield what the instances of each domain have running and waiting.
+
+        :param service: the service's name
+        :param keys: its targets
+        :returns: each failure domain and its number of requests
+        """
+        for name, domain in self._domains.items():
+            total = domain.services.get(service)
+            running = sum(
+                domain.loads[key][0] for key in keys if key in domain.loads
+            )
+            waiting = total.waiting if total is not None else 0
+            yield name, running + waiting
+
     def list_service_totals(
         self, service: str
     ) -> collections.abc.Iterator[messages.ServiceTotal]:
--- a/packages/bambooring/src/bambooring/metrics.py
+++ b/packages/bambooring/src/bambooring/metrics.py
@@ -35,6 +35,16 @@
     'return, by effect.',
     ['effect'],
 )
+DOMAIN_REQUESTS = prometheus_client.Counter(
+    'bambooring_domain_requests_total',
+    'Requests sent to targets of the own or another failure domain.',
+    ['domain'],
+)
+LEAVING_SHARE = prometheus_client.Gauge(
+    'bambooring_leaving_share',
+    'Share of the requests that leaves the own failure domain, by service.',
+    ['service'],
+)
 TARGET_RESTS = prometheus_client.Counter(
     'bambooring_target_rests_total',
     'Responses by which a target asked for a rest.',
