Let a second attempt leave a home whose targets are suspected

Cause: the own failure domain was preferred before suspected targets were put last, so a second attempt went to a suspected target at home though a sound one elsewhere had room.

Change: a request that may not probe chooses its failure domain among the targets that aren't suspected, if one of them has room.

Weighed: the sort key alone; it comes after the choice of the domain.

Measured: the new test fails without the change; 99 tests of balancing pass.

--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -187,9 +187,21 @@
         ]
         if self.spill is not None:
             self._update_spill(service, now_s)
+            preferred = candidates
+            if not may_probe:
+                preferred = [
+                    target
+                    for target in candidates
+                    if not self._may_be_put_off(target, now_s)
+                ]
+                # A suspected target at home is no reason to stay there.
+                ids = {target.id for target in preferred}
+                loaded = [
+                    item for item in loaded if item[0].id in ids
+                ] or loaded
             loaded = self.spill.select(
                 service,
-                candidates,
+                preferred,
                 loaded,
                 request_bytes=request_bytes,
                 waited_s=waited_s,
--- a/packages/bambooring/src/bambooring/balancing/tests/test_spill.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_spill.py
@@ -314,6 +314,28 @@
     assert choice is not None
 
 
+def test_suspected_home_target():
+    """A second attempt leaves a home whose only target is suspected."""
+    balancer = _make_balancer(PLAIN, INSTANCES, shares_health=True)
+    for sender in INSTANCES:
+        _report(balancer, sender)
+    balancer.loads.add_report(
+        messages.Load(
+            sender='e2',
+            incarnation=1,
+            sequence=2,
+            targets=[],
+            services=[],
+            suspicions=[
+                messages.Suspicion(target='a1', born_ms=1, failures=1)
+            ],
+        ),
+        0.0,
+    )
+    assert _choose(balancer) == 'a1'
+    assert _choose(balancer, may_probe=False) in ('b1', 'c1')
+
+
 def test_domain_without_targets():
     """A service without targets in the own domain is served elsewhere."""
     balancer = _make_balancer(PLAIN[1:], INSTANCES)
