--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -26,6 +26,7 @@
 from bambooring.balancing import permits as permits_module
 from bambooring.balancing import rests as rests_module
 from bambooring.balancing import runs as runs_module
+from bambooring.balancing import spill as spill_module
 from bambooring.loads import peers as peers_module
 from bambooring.loads import state as loads_state
 from bambooring.targets import messages as targets
@@ -95,6 +96,8 @@
         boot_clock: clock_module.Clock | None = None,
         own_address: str = '',
         shares_health: bool = False,
+        prefers_own_domain: bool = False,
+        byte_cost_s_per_mb: float = 0.0,
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
@@ -108,6 +111,10 @@
             self.peer_health = peer_health_module.PeerHealth(
                 own_address, failure_domain, self.loads.suspicions
             )
+        self.spill: spill_module.Spill | None = None
+        if prefers_own_domain and failure_domain:
+            self.spill = spill_module.Spill(failure_domain, byte_cost_s_per_mb)
+        self._waiting_by_service: dict[str, int] = {}
         self._limits_by_service: dict[str, limit_module.ConcurrencyLimit] = {}
         self._consecutive_refusals: dict[str, int] = {}
         self._backoff_until_s: dict[str, float] = {}
@@ -204,6 +211,8 @@
         prefers_serving: bool = False,
         extra_requests: int = const.EXTRA_REQUESTS_PER_TARGET,
         allowed_domains: domains_module.Domains = None,
+        request_bytes: int = 0,
+        waited_s: float = 0.0,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -219,6 +228,8 @@
         :param extra_requests: how many requests a target may get beyond its
             slots
         :param allowed_domains: the failure domains to choose from
+        :param request_bytes: the size of the request
+        :param waited_s: how long it has waited here, in seconds
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -232,6 +243,36 @@
         candidates = self._list_candidates(
             service, now_s, excluded_ids, allowed_domains
         )
+        loaded = [
+            (target, load)
+            for target in candidates
+            if self._has_room(
+                target, load := self._sum_load(target.id), extra_requests
+            )
+        ]
+        if self.spill is not None:
+            self._update_spill(service, now_s)
+            preferred = candidates
+            if not may_probe:
+                preferred = [
+                    target
+                    for target in candidates
+                    if not self._may_be_put_off(target, now_s)
+                ]
+                # A suspected target at home is no reason to stay there.
+                ids = {target.id for target in preferred}
+                loaded = [
+                    item for item in loaded if item[0].id in ids
+                ] or loaded
+            loaded = self.spill.select(
+                service,
+                preferred,
+                loaded,
+                request_bytes=request_bytes,
+                waited_s=waited_s,
+                duration_s=self.get_mean_duration_s(service),
+                rng=self._rng,
+            )
         scored_candidates = [
             (
                 not may_probe and self._may_be_put_off(target, now_s),
@@ -239,10 +280,7 @@
                 self._score(target, load),
                 target,
             )
-            for target in candidates
-            if self._has_room(
-                target, load := self._sum_load(target.id), extra_requests
-            )
+            for target, load in loaded
         ]
         best_candidate = min(
             scored_candidates, key=lambda item: item[:3], default=None
@@ -314,8 +352,13 @@
         """Return whether neither this instance nor others' word ejects it."""
         if not self._health.is_healthy(target.id, now_s):
             return False
-        return self.peer_health is None or not self.peer_health.is_ejected(
-            target, is_used=target.id in self._own_loads
+        if self.peer_health is None:
+            return True
+        return (
+            target.id not in self.peer_health.affected_ids
+            or not self.peer_health.is_ejected(
+                target, is_used=target.id in self._own_loads
+            )
         )
 
     def _may_be_put_off(self, target: targets.Target, now_s: float) -> bool:
@@ -337,15 +380,52 @@
         running = load.running + 1
         slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
         per_slot = running * self._groups.get_slowdown(target) / slots
-        if self.peer_health is not None:
-            per_slot += self.peer_health.get_penalty(target)
+        health = self.peer_health
+        if health is not None and target.id in health.affected_ids:
+            per_slot += health.get_penalty(target)
+        is_away = target.failure_domain != self._failure_domain
+        if self.spill is not None and target.group:
+            per_slot += spill_module.weigh_tie(load.tokens, is_away) / slots
         return (
             per_slot,
             load.tokens,
-            target.failure_domain != self._failure_domain,
+            is_away,
             self._rng.random(),
         )
 
+    def _update_spill(self, service: str, now_s: float) -> None:
+        """Compute anew which requests of a service leave, if that is due.
+
+        Targets of a model group are chosen by their load alone.
+        """
+        if self.spill is None or not self.spill.is_due(service, now_s):
+            return
+        if any(target.group for target in self._list_targets(service)):
+            return
+        service_targets = list(self._list_targets(service))
+        self.spill.update(
+            service,
+            [
+                (target, self._get_effective_slots(target))
+                for target in service_targets
+                if self._is_healthy(target, now_s)
+                and self.rests.may_send(target, now_s)
+            ],
+            self.loads,
+            own_demand=self._waiting_by_service.get(service, 0)
+            + sum(
+                self._own_loads[target.id].running
+                for target in service_targets
+                if target.id in self._own_loads
+            ),
+            duration_s=self.get_mean_duration_s(service),
+            now_s=now_s,
+        )
+
+    def _get_effective_slots(self, target: targets.Target) -> float:
+        slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+        return slots / self._groups.get_slowdown(target)
+
     def _serves_with_room(
         self, target: targets.Target, load: peers_module.RunningLoad
     ) -> bool:
@@ -584,6 +664,7 @@
         service: str,
         duration_s: float,
         now_s: float = 0.0,
+        size_bytes: int = 0,
     ) -> None:
         """Record a complete response; the target is healthy again.
 
@@ -592,11 +673,14 @@
         :param duration_s: the time from sending the request to the end of
             the response, in seconds
         :param now_s: the current time in seconds, used for shared health only
+        :param size_bytes: the size of the request and its response
         """
         self._health.record_success(target_id)
         target = self._find_target(target_id)
         if self.peer_health is not None and target is not None:
             self.peer_health.record_success(target, now_s - duration_s, now_s)
+        if self.spill is not None and target is not None:
+            self.spill.record_response(target, duration_s, size_bytes)
         mean_s = self._mean_durations_s.get(service, duration_s)
         mean_s += const.DURATION_EWMA_WEIGHT * (duration_s - mean_s)
         self._mean_durations_s[service] = mean_s
@@ -673,6 +757,11 @@
                 self.peer_health.record_failure(target, ejection_s, now_s)
         return ejection_s
 
+    def classify_domain(self, target: targets.Target) -> str:
+        """Return whether a target is in the 'own' or an 'other' domain."""
+        is_own = target.failure_domain == self._failure_domain
+        return 'own' if is_own else 'other'
+
     def set_instances(
         self, domains_by_address: collections.abc.Mapping[str, str]
     ) -> None:
@@ -682,6 +771,8 @@
         """
         if self.peer_health is not None:
             self.peer_health.set_instances(domains_by_address)
+        if self.spill is not None:
+            self.spill.set_instances(domains_by_address)
 
     def refresh_health(
         self, now_s: float
@@ -726,6 +817,7 @@
             many of them there are of each urgency
         """
         self._report_sequence += 1
+        self._waiting_by_service = waiting
         return targets.Load(
             sender=sender,
             incarnation=incarnation,
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -403,6 +403,8 @@
             if pending.standing is None
             else 0,
             allowed_domains=pending.allowed_domains,
+            request_bytes=len(pending.request.body),
+            waited_s=now_s - pending.admitted_s,
         )
 
     def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -80,6 +80,8 @@
             boot_clock=self._lease_clock,
             own_address=settings.link_address,
             shares_health=settings.shares_health,
+            prefers_own_domain=settings.prefers_own_domain,
+            byte_cost_s_per_mb=settings.byte_cost_s_per_mb,
         )
         self._evacuations = evacuation_task.EvacuationReceiver(
             self._evacuate_domains
@@ -472,6 +474,7 @@
         beliefs.log_health_changes(
             self._balancer.refresh_health(self._reactor.now())
         )
+        beliefs.log_share_changes(self._balancer.spill)
         limits = self._balancer.adjust_limits()
         if limits != self._logged_limits:
             for service, limit in limits.items():
@@ -498,6 +501,8 @@
         return (
             self._balancer.has_running_requests
             or self._balancer.has_health_news
+            # A failure domain that says nothing counts as cut off.
+            or self._settings.prefers_own_domain
             or self.forwarder.pending_count > 0
         )
 
