Split the HTTP server's module into connection, exchange and server

Change: moves only. Exchange goes to http1/exchange.py, Connection to http1/connection.py. Handlers still name the type as server.Exchange.

--- a/packages/core/src/bambooring_core/http1/server.py
+++ b/packages/core/src/bambooring_core/http1/server.py
@@ -1,414 +1,20 @@
 """Serve HTTP/1.1; a request is handled after its body was received."""
 
 import collections.abc
-import contextlib
-import selectors
 import socket
-import struct
 import types
 import typing
 
-import h11
-
 from bambooring_core import accepting
-from bambooring_core.http1 import checks
+from bambooring_core.http1 import connection as connection_module
 from bambooring_core.http1 import const
-from bambooring_core.http1 import errors
+from bambooring_core.http1 import exchange as exchange_module
 from bambooring_core.http1 import messages
 from bambooring_core import links
 from bambooring_core import reactor as reactor_module
 
-# SO_LINGER enabled with a timeout of zero: close() resets the connection, so
-# that the caller can't take a truncated response for a complete one.
-_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-
-
-class Exchange:
-    """One request of a caller and the response to it.
-
-    ``on_disconnect`` is called if the connection closes before the response
-    is complete, ``on_drained`` when the connection is no longer congested.
-    """
-
-    __slots__ = (
-        '_connection',
-        '_is_body_allowed',
-        'is_done',
-        'is_started',
-        'on_drained',
-        'on_disconnect',
-        'request',
-    )
-
-    def __init__(
-        self, connection: 'Connection', request: messages.Request
-    ) -> None:
-        self._connection = connection
-        self._is_body_allowed = request.method != 'HEAD'
-        self.request = request
-        self.is_started = False
-        self.is_done = False
-        self.on_disconnect: collections.abc.Callable[[], None] | None = None
-        self.on_drained: collections.abc.Callable[[], None] | None = None
-
-    @property
-    def is_congested(self) -> bool:
-        """Whether too much output is waiting for the caller to read it."""
-        return self._connection.is_congested
-
-    def start(self, status: int, headers: messages.Headers) -> None:
-        """Send the head of the response.
-
-        :param status: the HTTP status
-        :param headers: the headers; without a length the body is chunked
-        """
-        if self.is_done:
-            return
-        self.is_started = True
-        if status in const.STATUSES_WITHOUT_BODY:
-            self._is_body_allowed = False
-        self._connection.send_head(status, headers)
-
-    def write(self, data: bytes) -> None:
-        """Send a part of the response body, unless it must have none."""
-        if self._is_body_allowed and not self.is_done:
-            self._connection.send_data(data)
-
-    def end(self) -> None:
-        """Complete the response."""
-        if self.is_done:
-            return
-        self.is_done = True
-        self._connection.end_response()
-
-    def respond(
-        self, status: int, headers: messages.Headers, body: bytes
-    ) -> None:
-        """Send a complete response with a Content-Length header.
-
-        To a HEAD request the length is sent without the body.
-        """
-        if status in const.STATUSES_WITHOUT_BODY:
-            body = b''
-        length = str(len(body)).encode()
-        self.start(status, [*headers, (b'Content-Length', length)])
-        if body:
-            self.write(body)
-        self.end()
-
-    def abort(self) -> None:
-        """Reset the connection, so that the caller sees a failed response."""
-        if self.is_done:
-            return
-        self.is_done = True
-        self._connection.abort()
-
-
-class Connection:
-    """A caller's connection, which handles one request at a time.
-
-    ``reading_since_s`` is the reactor's time when the first bytes of an
-    incomplete request were received, or None.
-    """
-
-    def __init__(self, server: 'Server', sock: socket.socket) -> None:
-        self._server = server
-        self._socket = sock
-        self._reactor = server.reactor
-        self._http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=server.limits.max_header_bytes,
-        )
-        self._out_buffer = bytearray()
-        self._events = selectors.EVENT_READ
-        self._head: h11.Request | None = None
-        self._head_received_s = 0.0
-        self._body = bytearray()
-        self._exchange: Exchange | None = None
-        self._is_closing = False
-        self._is_lingering = False
-        self.is_open = True
-        self.last_active_s = server.reactor.now()
-        self.reading_since_s: float | None = None
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        return self._exchange is None and self.reading_since_s is None
-
-    @property
-    def has_active_request(self) -> bool:
-        """Whether a request is being handled."""
-        return self._exchange is not None
-
-    @property
-    def has_unsent_output(self) -> bool:
-        """Whether a part of a response is not sent yet."""
-        return bool(self._out_buffer)
-
-    @property
-    def is_congested(self) -> bool:
-        """Whether too much output is waiting for the caller to read it."""
-        return len(self._out_buffer) > const.OUT_BUFFER_HIGH_WATER_BYTES
-
-    def open(self) -> None:
-        """Start watching the socket."""
-        self._reactor.watch(self._socket, self._events, self._on_ready)
-
-    def _on_ready(self, events: int) -> None:
-        if events & selectors.EVENT_WRITE and self.is_open:
-            self._flush()
-        if events & selectors.EVENT_READ and self.is_open:
-            self._receive()
-
-    def _receive(self) -> None:
-        try:
-            data = self._socket.recv(const.READ_SIZE_BYTES)
-        except BlockingIOError:
-            return
-        except OSError:
-            self.close()
-            return
-        self.last_active_s = self._reactor.now()
-        if self._is_lingering:
-            if not data:
-                self.close()
-            return
-        if not data and (self._exchange is not None or self.is_idle):
-            self.close()
-            return
-        try:
-            self._http.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._refuse(checks.make_refusal(error))
-        except errors.RequestError as error:
-            self._refuse(error)
-        self._update_watch()
-
-    def _read_events(self) -> None:
-        while (
-            self.is_open and not self._is_lingering and self._exchange is None
-        ):
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                self._handle_need_data()
-                return
-            if event is h11.PAUSED:
-                return
-            self._handle_event(event)
-
-    def _handle_need_data(self) -> None:
-        """Start the request timeout; send a 100 response if expected."""
-        has_partial_head = bool(self._http.trailing_data[0])
-        if (
-            self._head is None
-            and self.reading_since_s is None
-            and has_partial_head
-        ):
-            self.reading_since_s = self._reactor.now()
-        if self._http.they_are_waiting_for_100_continue:
-            interim_response = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            self._send(interim_response)
-            self._flush()
-
-    def _handle_event(self, event: typing.Any) -> None:
-        match event:
-            case h11.Request():
-                checks.check_method(event)
-                checks.check_framing(event)
-                self._head = event
-                self._head_received_s = self._reactor.now()
-                self.reading_since_s = (
-                    self.reading_since_s or self._head_received_s
-                )
-                self._body.clear()
-            case h11.Data():
-                self._body += event.data
-                if len(self._body) > self._server.limits.max_body_bytes:
-                    raise errors.RequestError(413, 'body_too_large')
-            case h11.EndOfMessage():
-                self._begin_exchange()
-            case h11.ConnectionClosed():
-                self.close()
-
-    def _begin_exchange(self) -> None:
-        head = self._head
-        assert head is not None
-        self._head = None
-        self.reading_since_s = None
-        request = messages.Request(
-            method=head.method.decode('ascii'),
-            target=head.target.decode('ascii'),
-            headers=list(head.headers.raw_items()),
-            body=bytes(self._body),
-            received_s=self._head_received_s,
-        )
-        self._body.clear()
-        self._exchange = Exchange(self, request)
-        self._server.handle(self._exchange)
-
-    def _refuse(self, error: errors.RequestError) -> None:
-        """Count and reject an invalid request, then close the connection.
-
-        The connection is aborted if a request is being handled, and closed
-        without a response if no response can be sent any more.
-        """
-        self._server.count_refused(error.reason)
-        self.reading_since_s = None
-        if self._exchange is not None:
-            self.abort()
-            return
-        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self.close()
-            return
-        self._is_closing = True
-        self.send_head(
-            error.status,
-            [(b'Content-Length', b'0'), (b'Connection', b'close')],
-        )
-        self._send(h11.EndOfMessage())
-        self._flush()
-        self._linger_and_close()
-
-    def refuse_slow_request(self) -> None:
-        """Reject a request that takes too long to arrive."""
-        self._refuse(errors.RequestError(408, 'head_timeout'))
-
-    def _linger_and_close(self) -> None:
-        """Close the connection once the peer had time to read the response.
-
-        That time begins when the whole response is sent.
-        """
-        if not self.is_open:
-            return
-        self._is_lingering = True
-        if not self._out_buffer:
-            self._end_output()
-
-    def _end_output(self) -> None:
-        """Tell the peer that nothing follows, and close a while later."""
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_WR)
-        self._reactor.call_later(const.LINGER_S, self.close)
-
-    def send_head(self, status: int, headers: messages.Headers) -> None:
-        """Send a response's head.
-
-        A closing server adds the header 'Connection: close'.
-        """
-        if self._server.is_closing and not self._is_closing:
-            self._is_closing = True
-            headers = [*headers, (b'Connection', b'close')]
-        self._send(h11.Response(status_code=status, headers=headers))
-
-    def send_data(self, data: bytes) -> None:
-        """Send a part of a response's body."""
-        self._send(h11.Data(data=data))
-        self._flush()
-
-    def end_response(self) -> None:
-        """Complete a response, then close or read the next request."""
-        self._send(h11.EndOfMessage())
-        self._exchange = None
-        self.last_active_s = self._reactor.now()
-        self._flush()
-        if not self.is_open:
-            return
-        if self._is_closing or self._http.our_state is h11.MUST_CLOSE:
-            self._linger_and_close()
-            return
-        self._http.start_next_cycle()
-        self._reactor.call_soon(self._read_next)
-
-    def _read_next(self) -> None:
-        if not self.is_open or self._is_lingering:
-            return
-        try:
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._refuse(checks.make_refusal(error))
-        except errors.RequestError as error:
-            self._refuse(error)
-
-    def _send(self, event: typing.Any) -> None:
-        if self.is_open:
-            self._out_buffer += self._http.send(event) or b''
-
-    def _flush(self) -> None:
-        was_congested = self.is_congested
-        had_output = self.has_unsent_output
-        if had_output:
-            try:
-                sent = self._socket.send(self._out_buffer)
-            except BlockingIOError:
-                sent = 0
-            except OSError:
-                self.close()
-                return
-            del self._out_buffer[:sent]
-            if sent:
-                self.last_active_s = self._reactor.now()
-        self._update_watch()
-        exchange = self._exchange
-        if was_congested and not self.is_congested and exchange is not None:
-            if exchange.on_drained is not None:
-                exchange.on_drained()
-        if self._is_lingering and had_output and not self._out_buffer:
-            self._end_output()
-
-    @property
-    def _has_excess_input(self) -> bool:
-        """Whether the caller has sent too much behind a running request."""
-        if self._exchange is None:
-            return False
-        unread_bytes = len(self._http.trailing_data[0])
-        return unread_bytes > const.IN_BUFFER_HIGH_WATER_BYTES
-
-    def _update_watch(self) -> None:
-        """Watch for input unless there is too much, and for room to write.
-
-        A connection that isn't read isn't seen to close either.
-        """
-        if not self.is_open:
-            return
-        events = 0 if self._has_excess_input else selectors.EVENT_READ
-        if self._out_buffer:
-            events |= selectors.EVENT_WRITE
-        if events == self._events:
-            return
-        self._events = events
-        if events:
-            self._reactor.watch(self._socket, events, self._on_ready)
-        else:
-            self._reactor.unwatch(self._socket)
-
-    def abort(self) -> None:
-        """Reset the connection."""
-        if not self.is_open:
-            return
-        with contextlib.suppress(OSError):
-            self._socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
-        self.close()
-
-    def close(self) -> None:
-        """Close the connection and notify its unfinished exchange."""
-        if not self.is_open:
-            return
-        self.is_open = False
-        self._reactor.unwatch(self._socket)
-        self._socket.close()
-        self._server.remove_connection(self)
-        exchange, self._exchange = self._exchange, None
-        if exchange is not None and not exchange.is_done:
-            exchange.is_done = True
-            if exchange.on_disconnect is not None:
-                exchange.on_disconnect()
-
+# Handlers name the type by the module of the server that calls them.
+Exchange = exchange_module.Exchange
 
 RequestHandler = collections.abc.Callable[[Exchange], None]
 CountRefused = collections.abc.Callable[[str], None]
@@ -436,7 +42,7 @@
         self.is_closing = False
         self._address = address
         self._acceptor: accepting.Acceptor | None = None
-        self._connections: set[Connection] = set()
+        self._connections: set[connection_module.Connection] = set()
 
     def __enter__(self) -> typing.Self:
         listener = socket.create_server(
@@ -493,7 +99,7 @@
             if not connection.has_unsent_output:
                 connection.close()
 
-    def _list_idle(self, idle_s: float) -> list[Connection]:
+    def _list_idle(self, idle_s: float) -> list[connection_module.Connection]:
         now = self.reactor.now()
         return [
             connection
@@ -515,12 +121,14 @@
         self._acceptor.close()
         return True
 
-    def remove_connection(self, connection: Connection) -> None:
+    def remove_connection(
+        self, connection: connection_module.Connection
+    ) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
 
     def _add_connection(self, sock: socket.socket) -> None:
-        connection = Connection(self, sock)
+        connection = connection_module.Connection(self, sock)
         self._connections.add(connection)
         connection.open()
 
