Hold no more for callers than a budget of bytes and descriptors allows

Cause: each connection was bounded by itself (4 MiB of body, kept twice while its request ran, and some hundred KB of output), but nothing bounded all of them: 200 callers with bodies that stop short took an instance of 152 MB to 404 MB, 450 that read nothing one of 88 MB to 110 MB.

Change: a process has one MemoryBudget, made from memory_bytes. A large body is admitted by its length when its head is read, or as its chunks arrive; without room it is refused with 503 and Retry-After, unread, and its caller may go on sending for a while so that it reads the refusal. Before that, large uploads that have stood still for a second are refused in its place. Output and buffered answers are counted as they are; above the budget those connections are closed that hold most and have stalled longest, never one whose request merely runs. A response that nobody reads is broken off after 10 s. Near the limit of descriptors, connections without a request that moved longest ago are closed. A large body is no longer copied: neither when it is complete nor for the call to its target, and it is freed with the response, not when a cycle of references is collected. Without memory_bytes and max_descriptors nothing is refused or closed.

Weighed: accounting only for what has arrived was ruled out, since many bodies would then be cut off in the middle instead of refused unread. Stopping to read instead of refusing was ruled out: callers would wait for nothing.

--- a/packages/bambooring/src/bambooring/crashes/causes.py
+++ b/packages/bambooring/src/bambooring/crashes/causes.py
@@ -27,7 +27,7 @@
     method: str,
     request_target: str,
     account: str,
-    body: bytes,
+    body: bytes | bytearray,
 ) -> Causes:
     """Return the keys of a request's possible causes.
 
@@ -51,7 +51,7 @@
     return _hash(b'crash', target_id.encode(), str(born_ms).encode())
 
 
-def _hash(*fields: bytes) -> int:
+def _hash(*fields: bytes | bytearray) -> int:
     digest = hashlib.blake2b(digest_size=_KEY_BYTES)
     for field in fields:
         digest.update(len(field).to_bytes(8, 'big'))
--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -32,6 +32,9 @@
     def record_statements(self, attempt: 'Attempt') -> None:
         """Record what the head of a response says of the target itself."""
 
+    def hold_answer(self, size: int) -> None:
+        """Account for the bytes of an answer that are buffered."""
+
     def start_forwarding(self, attempt: 'Attempt') -> None:
         """Begin to forward a stream or a response too large to buffer.
 
@@ -235,9 +238,11 @@
             self._listener.forward_data(self, data)
             return
         self.buffered_body += data
+        self._listener.hold_answer(len(self.buffered_body))
         if len(self.buffered_body) > const.MAX_BUFFERED_BODY_BYTES:
             buffered = bytes(self.buffered_body)
             self.buffered_body.clear()
+            self._listener.hold_answer(0)
             self._begin_forwarding()
             if not self.is_over:
                 self._listener.forward_data(self, buffered)
--- a/packages/bambooring/src/bambooring/forwarding/messages.py
+++ b/packages/bambooring/src/bambooring/forwarding/messages.py
@@ -30,7 +30,7 @@
     prompt_tokens: int
     prompt_parts: tuple[str, ...]
     headers: http1.Headers
-    body: bytes
+    body: bytes | bytearray
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -177,6 +177,10 @@
         """Record what the head of a response says of the target itself."""
         self._forwarder.record_statements(attempt)
 
+    def hold_answer(self, size: int) -> None:
+        """Account for the bytes of an answer that are buffered."""
+        self._exchange.hold_answer(size)
+
     def start_forwarding(self, attempt: attempt_module.Attempt) -> None:
         """Begin to forward a response that is not buffered.
 
@@ -602,3 +606,5 @@
                 deadline_s=self.deadline_s,
             )
         )
+        # Until it is collected as garbage this request is kept by cycles.
+        self.request.body = b''
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -30,6 +30,7 @@
 from bambooring_core import decoding
 from bambooring_core import errors as core_errors
 from bambooring_core.http1 import const as http1_const
+from bambooring_core.http1 import memory
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as http1_server
 from bambooring_core import identity as identity_module
@@ -140,6 +141,10 @@
             limits=HTTP_LIMITS,
             handle=self._handle_call,
             count_refused=self._count_refused,
+            budget=memory.make_budget(self._settings.memory_bytes),
+            max_descriptors=memory.get_callers_descriptors(
+                self._settings.max_descriptors
+            ),
         )
         with self._hub, self._server:
             self.set_up()
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -30,6 +30,7 @@
 from bambooring_core import decoding
 from bambooring_core import errors as core_errors
 from bambooring_core.http1 import const as http1_const
+from bambooring_core.http1 import memory
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as http1_server
 from bambooring_core import identity as identity_module
@@ -122,6 +123,7 @@
         self._finish_by_s = 0.0
         self._was_ready = False
         self._set_retry_budget(1)
+        self._memory_budget = memory.make_budget(settings.memory_bytes)
         self._caller_server = self._make_server(
             settings.callers_address, self.forwarder.handle
         )
@@ -143,6 +145,10 @@
             ),
             handle=handle,
             count_refused=_count_unreadable,
+            budget=self._memory_budget,
+            max_descriptors=memory.get_callers_descriptors(
+                self._settings.max_descriptors
+            ),
         )
 
     def run(self) -> None:
--- a/packages/core/src/bambooring_core/http1/checks.py
+++ b/packages/core/src/bambooring_core/http1/checks.py
@@ -25,6 +25,16 @@
         raise errors.RequestError(400, 'two_lengths')
 
 
+def get_length(request: h11.Request) -> int | None:
+    """Return the length of a request's body, None if it comes in chunks."""
+    for name, value in request.headers:
+        if name == b'content-length':
+            return int(value)
+        if name == b'transfer-encoding':
+            return None
+    return 0
+
+
 def has_length(response: h11.Response) -> bool:
     """Return whether a response's end shows without that of its connection."""
     names = [name for name, _ in response.headers]
--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -5,6 +5,7 @@
 sent on a kept connection that has meanwhile stalled or been dropped.
 """
 
+import collections
 import collections.abc
 import contextlib
 import errno
@@ -60,7 +61,8 @@
         self._address = address
         self._listener = listener
         self._http = h11.Connection(h11.CLIENT)
-        self._out_buffer = bytearray()
+        # The body is sent from the caller's own bytes, which aren't copied.
+        self._unsent_parts: collections.deque[memoryview] = collections.deque()
         self._is_connecting = True
         self._is_paused = False
         self._is_body_expected = True
@@ -79,7 +81,7 @@
         method: str,
         target: str,
         headers: messages.Headers,
-        body: bytes,
+        body: bytes | bytearray,
     ) -> None:
         """Connect and send the request; may be called once.
 
@@ -90,10 +92,10 @@
         """
         self._is_body_expected = method != 'HEAD'
         request = h11.Request(method=method, target=target, headers=headers)
-        self._out_buffer += self._http.send(request) or b''
+        self._add_output(request)
         if body:
-            self._out_buffer += self._http.send(h11.Data(data=body)) or b''
-        self._out_buffer += self._http.send(h11.EndOfMessage()) or b''
+            self._add_output(h11.Data(data=typing.cast(bytes, body)))
+        self._add_output(h11.EndOfMessage())
         if self._socket is None:
             self._reactor.call_soon(lambda: self._fail(errors.Failure.CONNECT))
             return
@@ -107,6 +109,10 @@
             self._socket, selectors.EVENT_WRITE, self._on_ready
         )
 
+    def _add_output(self, event: h11.Event) -> None:
+        parts = self._http.send_with_data_passthrough(event) or []
+        self._unsent_parts.extend(memoryview(part) for part in parts if part)
+
     @property
     def surplus(self) -> bytes:
         """Return what has been received behind the response."""
@@ -128,7 +134,7 @@
         if self._socket is None or not self.is_open or self._is_connecting:
             return
         events = 0 if self._is_paused else selectors.EVENT_READ
-        if self._out_buffer:
+        if self._unsent_parts:
             events |= selectors.EVENT_WRITE
         if events:
             self._reactor.watch(self._socket, events, self._on_ready)
@@ -158,19 +164,26 @@
 
     def _flush(self) -> None:
         assert self._socket is not None
-        if self._out_buffer:
+        if self._unsent_parts:
             self.may_have_sent = True
             try:
-                sent = self._socket.send(self._out_buffer)
+                sent = self._socket.sendmsg(self._unsent_parts)
             except BlockingIOError:
                 sent = 0
             except OSError:
                 self._receive_last()
                 self._fail(errors.Failure.RESET)
                 return
-            del self._out_buffer[:sent]
+            self._drop_sent(sent)
         self._watch()
 
+    def _drop_sent(self, sent: int) -> None:
+        while sent:
+            part = self._unsent_parts.popleft()
+            if sent < len(part):
+                self._unsent_parts.appendleft(part[sent:])
+            sent -= min(sent, len(part))
+
     def _receive_last(self) -> None:
         """Receive what a server sent before it stopped reading, if any."""
         assert self._socket is not None
@@ -249,6 +262,7 @@
         if not self.is_open:
             return
         self.is_open = False
+        self._unsent_parts.clear()
         self._timer.cancel()
         if self._socket is not None:
             self._reactor.unwatch(self._socket)
--- a/packages/core/src/bambooring_core/http1/connection.py
+++ b/packages/core/src/bambooring_core/http1/connection.py
@@ -12,7 +12,9 @@
 from bambooring_core.http1 import const
 from bambooring_core.http1 import errors
 from bambooring_core.http1 import exchange as exchange_module
+from bambooring_core.http1 import memory
 from bambooring_core.http1 import messages
+from bambooring_core.http1 import relief
 
 if typing.TYPE_CHECKING:
     from bambooring_core.http1 import server as server_module
@@ -44,6 +46,15 @@
         self._head: h11.Request | None = None
         self._head_received_s = 0.0
         self._body = bytearray()
+        # What is held for this connection: the body of its request, and all
+        # else. The reservation of the body is made before it is read.
+        self._body_held = memory.Reservation(server.budget)
+        self._other_held = memory.Reservation(server.budget)
+        self._answer_bytes = 0
+        self._has_declared_length = False
+        # How long, and how many bytes, a refused caller may go on sending.
+        self._linger_until_s = 0.0
+        self._linger_bytes = 0
         self._exchange: exchange_module.Exchange | None = None
         self._is_closing = False
         self._is_lingering = False
@@ -91,8 +102,7 @@
             return
         self.last_active_s = self._reactor.now()
         if self._is_lingering:
-            if not data:
-                self.close()
+            self._discard(data)
             return
         if not data and (self._exchange is not None or self.is_idle):
             self.close()
@@ -104,8 +114,15 @@
             self._refuse(checks.make_refusal(error))
         except errors.RequestError as error:
             self._refuse(error)
+        self._account()
         self._update_watch()
 
+    def _discard(self, data: bytes) -> None:
+        """Drop the input of a caller that is to read its response."""
+        self._linger_bytes -= len(data)
+        if not data or (self._linger_until_s and self._linger_bytes < 0):
+            self.close()
+
     def _read_events(self) -> None:
         while (
             self.is_open and not self._is_lingering and self._exchange is None
@@ -144,16 +161,108 @@
                 self.reading_since_s = (
                     self.reading_since_s or self._head_received_s
                 )
-                self._body.clear()
+                self._admit_body(event)
             case h11.Data():
-                self._body += event.data
-                if len(self._body) > self._server.limits.max_body_bytes:
-                    raise errors.RequestError(413, 'body_too_large')
+                self._add_to_body(event.data)
             case h11.EndOfMessage():
                 self._begin_exchange()
             case h11.ConnectionClosed():
                 self.close()
 
+    def _admit_body(self, head: h11.Request) -> None:
+        """Reserve memory for a body by its length, or refuse it unread."""
+        length = checks.get_length(head)
+        self._has_declared_length = length is not None
+        if not length or not self._server.budget.is_limited:
+            return
+        if length > self._server.limits.max_body_bytes:
+            raise errors.RequestError(413, 'body_too_large')
+        self._reserve_body(length)
+
+    def _reserve_body(self, size: int) -> None:
+        """Reserve memory for a body, which a small one always gets.
+
+        :param size: the bytes in all
+        :raises RequestError: if there is no room for a large body
+        """
+        if size <= const.SMALL_BODY_BYTES:
+            self._body_held.resize(size)
+            return
+        if not self._body_held.try_resize(size):
+            self._server.close_stalled(size - self._body_held.size, self)
+            if not self._body_held.try_resize(size):
+                raise self._server.make_refusal('memory')
+
+    def _add_to_body(self, data: bytes) -> None:
+        size = len(self._body) + len(data)
+        if size > self._server.limits.max_body_bytes:
+            raise errors.RequestError(413, 'body_too_large')
+        if not self._has_declared_length:
+            self._reserve_body(size)
+        self._body += data
+
+    def _take_body(self) -> bytes | bytearray:
+        """Return the complete body; a large one isn't copied."""
+        body, self._body = self._body, bytearray()
+        if len(body) > const.SMALL_BODY_BYTES:
+            return body
+        return bytes(body)
+
+    def _drop_input(self) -> None:
+        """Free all input of a request that won't be handled."""
+        self._body = bytearray()
+        self._body_held.close()
+        self._http = h11.Connection(h11.SERVER)
+
+    @property
+    def _held_bytes(self) -> int:
+        return self._body_held.size + self._other_held.size
+
+    def _account(self) -> None:
+        """Account for what is held besides the body of the request.
+
+        Input behind a running request isn't parsed yet.
+        """
+        if not self.is_open:
+            return
+        size = len(self._out_buffer) + self._answer_bytes
+        if self._exchange is not None:
+            size += len(self._http.trailing_data[0])
+        if size != self._other_held.size:
+            self._other_held.resize(size)
+            self._server.schedule_relief()
+
+    def hold_answer(self, size: int) -> None:
+        """Account for the bytes of an answer that are buffered elsewhere."""
+        self._answer_bytes = size
+        self._account()
+
+    def describe(self, now_s: float) -> relief.Holder['Connection']:
+        """Return what closing this connection would release."""
+        return relief.Holder(
+            connection=self,
+            held_bytes=self._held_bytes,
+            stalled_s=now_s - self.last_active_s,
+            has_request=self.has_active_request,
+            has_output=self.has_unsent_output,
+        )
+
+    def give_up(self, reason: str) -> None:
+        """Close the connection because the process is near a limit.
+
+        A request that isn't complete is refused: it has not run. A response
+        that has started is reset.
+
+        :param reason: why, as a label for logs and metrics
+        """
+        self._server.record_closed(self, reason)
+        if self.reading_since_s is not None and not self._is_lingering:
+            self._refuse(self._server.make_refusal(reason))
+        elif self.has_active_request or self.has_unsent_output:
+            self.abort()
+        else:
+            self.close()
+
     def _begin_exchange(self) -> None:
         head = self._head
         assert head is not None
@@ -163,11 +272,11 @@
             method=head.method.decode('ascii'),
             target=head.target.decode('ascii'),
             headers=list(head.headers.raw_items()),
-            body=bytes(self._body),
+            body=self._take_body(),
             received_s=self._head_received_s,
         )
-        self._body.clear()
         self._exchange = exchange_module.Exchange(self, request)
+        self._server.count_active(1)
         self._server.handle(self._exchange)
 
     def _refuse(self, error: errors.RequestError) -> None:
@@ -185,11 +294,16 @@
             self.close()
             return
         self._is_closing = True
-        self.send_head(
-            error.status,
-            [(b'Content-Length', b'0'), (b'Connection', b'close')],
-        )
+        headers = [(b'Content-Length', b'0'), (b'Connection', b'close')]
+        if error.retry_after_s is not None:
+            retry_after = f'{error.retry_after_s:.3f}'.encode()
+            headers.append((b'Retry-After', retry_after))
+            now_s = self._reactor.now()
+            self._linger_until_s = now_s + const.REFUSAL_LINGER_S
+            self._linger_bytes = 2 * self._server.limits.max_body_bytes
+        self.send_head(error.status, headers)
         self._send(h11.EndOfMessage())
+        self._drop_input()
         self._flush()
         self._linger_and_close()
 
@@ -212,7 +326,16 @@
         """Tell the peer that nothing follows, and close a while later."""
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
-        self._reactor.call_later(const.LINGER_S, self.close)
+        self._reactor.call_later(const.LINGER_S, self._finish_lingering)
+
+    def _finish_lingering(self) -> None:
+        """Close the connection unless a refused caller is still sending."""
+        now_s = self._reactor.now()
+        is_sending = now_s - self.last_active_s < const.LINGER_S
+        if self.is_open and is_sending and now_s < self._linger_until_s:
+            self._reactor.call_later(const.LINGER_S, self._finish_lingering)
+            return
+        self.close()
 
     def send_head(self, status: int, headers: messages.Headers) -> None:
         """Send a response's head.
@@ -232,7 +355,7 @@
     def end_response(self) -> None:
         """Complete a response, then close or read the next request."""
         self._send(h11.EndOfMessage())
-        self._exchange = None
+        self._release_exchange()
         self.last_active_s = self._reactor.now()
         self._flush()
         if not self.is_open:
@@ -243,6 +366,21 @@
         self._http.start_next_cycle()
         self._reactor.call_soon(self._read_next)
 
+    def _release_exchange(self) -> exchange_module.Exchange | None:
+        """Forget the exchange, and free the body of its request.
+
+        Handlers and exchanges refer to each other, so a large body would
+        otherwise remain until they are collected as garbage.
+        """
+        exchange, self._exchange = self._exchange, None
+        self._body_held.close()
+        self._answer_bytes = 0
+        if exchange is not None:
+            self._server.count_active(-1)
+            if len(exchange.request.body) > const.SMALL_BODY_BYTES:
+                exchange.request.body = b''
+        return exchange
+
     def _read_next(self) -> None:
         if not self.is_open or self._is_lingering:
             return
@@ -271,6 +409,7 @@
             del self._out_buffer[:sent]
             if sent:
                 self.last_active_s = self._reactor.now()
+        self._account()
         self._update_watch()
         exchange = self._exchange
         if was_congested and not self.is_congested and exchange is not None:
@@ -323,7 +462,10 @@
         self._reactor.unwatch(self._socket)
         self._socket.close()
         self._server.remove_connection(self)
-        exchange, self._exchange = self._exchange, None
+        self._out_buffer = bytearray()
+        self._drop_input()
+        self._other_held.close()
+        exchange = self._release_exchange()
         if exchange is not None and not exchange.is_done:
             exchange.is_done = True
             if exchange.on_disconnect is not None:
--- a/packages/core/src/bambooring_core/http1/const.py
+++ b/packages/core/src/bambooring_core/http1/const.py
@@ -31,3 +31,41 @@
 
 # No content and not modified.
 STATUSES_WITHOUT_BODY: typing.Final = (204, 304)
+
+# A body up to this size is always admitted.
+SMALL_BODY_BYTES: typing.Final = 64 * 1024
+
+# If memory is short, a connection is stalled that has neither sent nor read
+# anything for this long. A packet that is lost twice is sent a third time
+# after 0.6 s.
+STALL_S: typing.Final = 1.0
+
+# If memory is limited, a response is broken off whose caller has read nothing
+# for this long, so that its target isn't kept busy. Callers abandon a stream
+# themselves after 6.4 s, and a whole request after 8.1 s.
+UNREAD_TIMEOUT_S: typing.Final = 10.0
+
+# A caller whose body is refused may go on sending it for this long, so that it
+# reads the refusal: 4 MiB take 2.4 s at 14 Mbit/s.
+REFUSAL_LINGER_S: typing.Final = 10.0
+
+# Callers that were refused at the same moment are told to come back at
+# different times, which differ by this much.
+REFUSAL_RETRY_AFTER_S: typing.Final = 1.0
+REFUSAL_RETRY_SPREAD_S: typing.Final = 1.0
+REFUSAL_RETRY_STEPS: typing.Final = 16
+
+# After a search for connections to close that released too little, the next
+# one waits for this long: a search looks at all connections.
+RELIEF_INTERVAL_S: typing.Final = 0.05
+
+# Descriptors that are not for callers' connections and the calls made for
+# them: 200 files, besides links, listening sockets and readiness checks.
+RESERVED_DESCRIPTORS: typing.Final = 200 + 128
+
+# At least this share of all descriptors is for callers.
+MIN_CALLERS_SHARE: typing.Final = 0.25
+
+# Near the limit of descriptors this share of it is freed at once, since each
+# search looks at all connections.
+DESCRIPTORS_FREED_SHARE: typing.Final = 1 / 32
--- a/packages/core/src/bambooring_core/http1/errors.py
+++ b/packages/core/src/bambooring_core/http1/errors.py
@@ -23,9 +23,13 @@
     """A request that violates the protocol or exceeds a limit.
 
     ``status`` is the HTTP status of the response, ``reason`` its reason code.
+    ``retry_after_s`` is set if the request has not run and may be repeated.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after_s = retry_after_s
--- a/packages/core/src/bambooring_core/http1/exchange.py
+++ b/packages/core/src/bambooring_core/http1/exchange.py
@@ -85,6 +85,14 @@
             self.write(body)
         self.end()
 
+    def hold_answer(self, size: int) -> None:
+        """Account for the parts of the response that are buffered elsewhere.
+
+        :param size: their bytes in all
+        """
+        if not self.is_done:
+            self._connection.hold_answer(size)
+
     def abort(self) -> None:
         """Reset the connection, so that the caller sees a failed response."""
         if self.is_done:
--- a/packages/core/src/bambooring_core/http1/messages.py
+++ b/packages/core/src/bambooring_core/http1/messages.py
@@ -15,7 +15,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     received_s: float
 
     def get(self, name: bytes) -> bytes | None:
--- a/packages/core/src/bambooring_core/metrics.py
+++ b/packages/core/src/bambooring_core/metrics.py
@@ -18,6 +18,20 @@
     ['decoder'],
 )
 
+HELD_BYTES = prometheus_client.Gauge(
+    'bambooring_held_bytes',
+    'Bytes held for callers and targets, as counted by the memory budget.',
+)
+HELD_BYTES_LIMIT = prometheus_client.Gauge(
+    'bambooring_held_bytes_limit',
+    'Bytes that may be held for callers and targets; 0 without a limit.',
+)
+CALLER_CONNECTIONS_CLOSED = prometheus_client.Counter(
+    'bambooring_caller_connections_closed_total',
+    'Connections of callers closed because a limit was near, by reason.',
+    ['reason'],
+)
+
 
 def render() -> bytes:
     """Return all metrics in the Prometheus text format."""
