Treat statuses under 100 and over 599 as failures of their targets

Cause: the parser takes a status of 600 to 999 for a response, so that callers got it, polls over kept connections counted as answered, and the target wasn't ejected. A status under 100 it refuses, but a second answer with such a status behind a body without a length, or in one that breaks off, only looked like a head and was passed on as a part of the first answer.

Change: an answer with such a status ends a call as a malformed one does. The search for second answers reads heads with any three-digit status.

Weighed: answering 502 with the target's body was ruled out: a request that may be retried can still be served.

--- a/packages/bambooring/src/bambooring/forwarding/second_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/second_answers.py
@@ -12,12 +12,14 @@
 import h11
 
 from bambooring.forwarding import messages
+from bambooring_core.http1 import checks
 from bambooring_core.http1 import messages as http1
 
 _MAX_HEAD_BYTES: typing.Final = 16 * 1024
 _MARK: typing.Final = b'HTTP/1.'
 _HEAD_START: typing.Final = re.compile(rb'HTTP/1\.[01] [0-9]{3}[ \r\n]')
 _HEAD_START_BYTES: typing.Final = len(b'HTTP/1.1 200 ')
+_STATUS: typing.Final = slice(len(b'HTTP/1.1 '), len(b'HTTP/1.1 200'))
 _HEAD_END: typing.Final = re.compile(rb'\n\r?\n')
 
 ReadHead = collections.abc.Callable[
@@ -134,6 +136,10 @@
 
 
 def _parse_head(data: bytes) -> http1.ResponseHead | None:
+    """Parse a head, also one whose status the parser doesn't take."""
+    status = int(data[_STATUS])
+    if not checks.is_valid_status(status):
+        data = data[: _STATUS.start] + b'500' + data[_STATUS.stop :]
     parser = h11.Connection(h11.CLIENT)
     parser.send(h11.Request(method='GET', target='/', headers=[('Host', '')]))
     try:
@@ -145,5 +151,5 @@
     if not isinstance(event, h11.Response):
         return None
     return http1.ResponseHead(
-        status=event.status_code, headers=list(event.headers.raw_items())
+        status=status, headers=list(event.headers.raw_items())
     )
--- a/packages/core/src/bambooring_core/http1/checks.py
+++ b/packages/core/src/bambooring_core/http1/checks.py
@@ -45,6 +45,11 @@
     )
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a status is one of HTTP; the parser takes up to 999."""
+    return 100 <= status <= const.MAX_STATUS
+
+
 def make_refusal(error: h11.RemoteProtocolError) -> errors.RequestError:
     """Return the refusal of a request that the parser rejects."""
     status = error.error_status_hint
--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -216,6 +216,10 @@
         while self.is_open:
             event = self._http.next_event()
             match event:
+                case h11.Response() if not checks.is_valid_status(
+                    event.status_code
+                ):
+                    self._fail(errors.Failure.MALFORMED)
                 case h11.Response():
                     head = messages.ResponseHead(
                         status=event.status_code,
--- a/packages/core/src/bambooring_core/http1/const.py
+++ b/packages/core/src/bambooring_core/http1/const.py
@@ -29,6 +29,8 @@
 
 LISTEN_BACKLOG: typing.Final = 1024
 
+MAX_STATUS: typing.Final = 599
+
 # No content and not modified.
 STATUSES_WITHOUT_BODY: typing.Final = (204, 304)
 
--- a/packages/core/src/bambooring_core/http1/kept.py
+++ b/packages/core/src/bambooring_core/http1/kept.py
@@ -17,6 +17,7 @@
 
 import h11
 
+from bambooring_core.http1 import checks
 from bambooring_core.http1 import client
 from bambooring_core.http1 import const
 from bambooring_core.http1 import messages
@@ -189,6 +190,11 @@
         while True:
             event = self._http.next_event()
             match event:
+                case h11.Response() if not checks.is_valid_status(
+                    event.status_code
+                ):
+                    self._handle_close()
+                    return
                 case h11.Response():
                     self._status = event.status_code
                 case h11.Data():
--- a/packages/core/src/bambooring_core/http1/tests/test_kept.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_kept.py
@@ -313,3 +313,54 @@
         server.connections[1].send(OK + b'a2')
         server.run_until(lambda: connection.is_idle)
         assert responses == [(200, b'a1'), (200, b'a2')]
+
+
+# A poll of a target that answered with status 600 or more counted as answered.
+@pytest.mark.parametrize('status', [b'000', b'001', b'099', b'600', b'999'])
+@pytest.mark.parametrize('is_first', [True, False])
+def test_invalid_status_is_no_answer(status, is_first):
+    """The call fails, and the next one gets a new connection."""
+    with _open() as (server, connection):
+        responses: list[tuple[int, bytes]] = []
+        bad = OK.replace(b'200', status) + b'no'
+        if not is_first:
+            _call(connection, '/1', responses)
+            server.read_request(0)
+            server.connections[0].send(OK + b'a1')
+            server.run_until(lambda: connection.is_idle)
+        _call(connection, '/2', responses)
+        server.read_request(0)
+        server.connections[0].send(bad)
+        if not is_first:
+            # On a kept connection it may belong to an earlier call.
+            server.run_until(
+                lambda: connection.is_idle or len(server.connections) > 1
+            )
+            if not connection.is_idle:
+                server.read_request(1)
+                server.connections[1].send(bad)
+        server.run_until(lambda: connection.is_idle)
+        assert responses[-1][0] == 0
+        index = len(server.connections)
+        _call(connection, '/3', responses)
+        server.read_request(index)
+        server.connections[index].send(OK + b'a3')
+        server.run_until(lambda: connection.is_idle)
+        assert responses[-1] == (200, b'a3')
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+def test_invalid_status_behind_a_body(status):
+    """What stands behind a body is not taken for the next answer."""
+    with _open() as (server, connection):
+        responses: list[tuple[int, bytes]] = []
+        _call(connection, '/1', responses)
+        server.read_request(0)
+        surplus = OK.replace(b'200', status) + b'no'
+        server.connections[0].send(OK + b'a1' + surplus)
+        server.run_until(lambda: connection.is_idle)
+        _call(connection, '/2', responses)
+        server.read_request(1)
+        server.connections[1].send(OK + b'a2')
+        server.run_until(lambda: connection.is_idle)
+        assert responses == [(200, b'a1'), (200, b'a2')]
