Fail calls of agents whose engine answers with an invalid status

Cause: curl refuses statuses under 100 and takes 600 to 999 for a response, so that an agent passed such answers on.

Change: the agent aborts the transfer at the status line; the attempt's outcome is unknown, as with any answer that breaks off.

--- a/packages/agent/src/bambooring_agent/engine/state.py
+++ b/packages/agent/src/bambooring_agent/engine/state.py
@@ -6,6 +6,7 @@
 
 from bambooring_agent.engine import const
 from bambooring_core.dispatch import messages as dispatch
+from bambooring_core.http1 import checks
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -27,6 +28,7 @@
         'headers',
         'is_chat',
         'is_head_complete',
+        'has_valid_status',
         'status',
         'body_tail',
     )
@@ -34,6 +36,7 @@
     def __init__(self, *, is_chat: bool) -> None:
         self.is_chat = is_chat
         self.status = 0
+        self.has_valid_status = True
         self.headers: list[dispatch.Header] = []
         self.body_tail = b''
         self.is_head_complete = False
@@ -49,10 +52,13 @@
         text = line.decode('latin-1').strip()
         if text.startswith('HTTP/'):
             self.status = int(text.split(' ', 2)[1])
+            self.has_valid_status = checks.is_valid_status(self.status)
             self.headers = []
             return False
         if not text:
-            self.is_head_complete = self.status >= 200
+            self.is_head_complete = (
+                self.has_valid_status and self.status >= 200
+            )
             return self.is_head_complete
         name, _, value = text.partition(':')
         if name.lower() not in const.DROPPED_HEADERS:
--- a/packages/agent/src/bambooring_agent/engine/task.py
+++ b/packages/agent/src/bambooring_agent/engine/task.py
@@ -151,12 +151,14 @@
 
     def _make_header_reader(
         self, attempt_id: int, response: state.Response
-    ) -> collections.abc.Callable[[bytes], None]:
-        def read_header_line(header_line: bytes) -> None:
+    ) -> collections.abc.Callable[[bytes], int | None]:
+        def read_header_line(header_line: bytes) -> int | None:
             if response.add_header_line(header_line):
                 self._listener.handle_response_head(
                     attempt_id, response.status, response.headers
                 )
+            # Fewer bytes than given make curl abort the transfer.
+            return None if response.has_valid_status else 0
 
         return read_header_line
 
--- a/packages/agent/src/bambooring_agent/engine/tests/test_task.py
+++ b/packages/agent/src/bambooring_agent/engine/tests/test_task.py
@@ -15,8 +15,9 @@
 class _RepeatingEngine:
     """Send each response once more, when the next request has come."""
 
-    def __init__(self, reactor):
+    def __init__(self, reactor, status=b'200'):
         self._reactor = reactor
+        self._status = status
         self._listener = socket.create_server(('127.0.0.1', 0))
         self._listener.setblocking(False)
         self.url = f'http://127.0.0.1:{self._listener.getsockname()[1]}'
@@ -42,8 +43,8 @@
             return
         path = data.split(b' ')[1]
         sent.append(
-            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
-            % (len(path), path)
+            b'HTTP/1.1 %b OK\r\nContent-Length: %d\r\n\r\n%b'
+            % (self._status, len(path), path)
         )
         sock.sendall(b''.join(sent[-2:]))
 
@@ -114,3 +115,27 @@
                     reactor.run_once()
         engine.close()
     assert listener.bodies == {1: b'/1', 2: b'/2', 3: b'/3'}
+
+
+# Callers got answers with statuses that HTTP doesn't have.
+@pytest.mark.parametrize('status', [b'000', b'001', b'099', b'600', b'999'])
+def test_answer_with_an_invalid_status_is_a_failure(status):
+    """An engine in trouble has not answered; nothing of it is passed on."""
+    listener = _Listener()
+    with reactor_module.Reactor() as reactor:
+        engine = _RepeatingEngine(reactor, status)
+        with task.CurlEngineClient(
+            reactor=reactor,
+            url=engine.url,
+            health_path=None,
+            listener=listener,
+        ) as engine_client:
+            engine_client.call(_make_start(1, dispatch.Kind.IDEMPOTENT))
+            for _ in range(MAX_ITERATIONS):
+                if listener.ended:
+                    break
+                reactor.call_later(0.001, lambda: None)
+                reactor.run_once()
+        engine.close()
+    assert not listener.bodies
+    assert listener.ended == {1: dispatch.Outcome.UNKNOWN}
