Count small bodies, parts of heads and of events against the budget

Cause: trials with other crowds (152 MB, 1,535 descriptors) showed that small bodies were counted but never led to relief: 1,000 uploads of 64 KiB that stop short held 64 MB of a budget of 52 MB. A request with a small body was refused behind large ones that used up a target's bytes.

Change: a small body schedules relief as output does; it has room at every target. What is received of a head, and of a stream's next event, is counted.

--- a/packages/bambooring/src/bambooring/balancing/bodies.py
+++ b/packages/bambooring/src/bambooring/balancing/bodies.py
@@ -6,10 +6,12 @@
 
 import typing
 
+from bambooring_core.http1 import const as http1_const
+
 # Eight bodies of the largest legal size (4 MiB). A target with 5 or 6 slots
 # runs 7 requests at the most, of all instances together, so that only a target
 # with more slots can meet this limit, with large bodies in nearly all of them.
-MAX_BYTES_PER_TARGET: typing.Final = 8 * 4 * 1024 * 1024
+MAX_BYTES_PER_TARGET: typing.Final = 8 * http1_const.MAX_BODY_BYTES
 
 
 class TargetBodies:
@@ -40,9 +42,11 @@
     def list_full(self, size: int) -> frozenset[str]:
         """Return the targets that have no room for a body.
 
+        A small one has room at all of them.
+
         :param size: the bytes of the body
         """
-        if not self.limit_bytes or not size:
+        if not self.limit_bytes or size <= http1_const.SMALL_BODY_BYTES:
             return frozenset()
         return frozenset(
             target_id
--- a/packages/bambooring/src/bambooring/balancing/tests/test_bodies.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_bodies.py
@@ -2,24 +2,26 @@
 
 from bambooring.balancing import bodies
 
+KB = 1024
+
 
 def test_target_with_many_large_bodies_gets_no_more():
     """Large bodies at one target don't add up beyond its memory."""
-    held = bodies.TargetBodies(limit_bytes=100)
-    held.add('a', 60)
-    assert held.list_full(41) == {'a'}
-    assert not held.list_full(40)
-    held.remove('a', 60)
-    assert not held.list_full(41)
+    held = bodies.TargetBodies(limit_bytes=100 * KB)
+    held.add('a', 30 * KB)
+    assert held.list_full(80 * KB) == {'a'}
+    assert not held.list_full(70 * KB)
+    held.remove('a', 30 * KB)
+    assert not held.list_full(80 * KB)
 
 
 def test_largest_body_has_room_at_an_idle_target():
     """A body above the limit is not refused for ever."""
-    held = bodies.TargetBodies(limit_bytes=100)
-    assert not held.list_full(500)
-    held.add('a', 500)
-    held.remove('a', 500)
-    assert not held.list_full(500)
+    held = bodies.TargetBodies(limit_bytes=100 * KB)
+    assert not held.list_full(500 * KB)
+    held.add('a', 500 * KB)
+    held.remove('a', 500 * KB)
+    assert not held.list_full(500 * KB)
 
 
 def test_no_limit_excludes_no_target():
@@ -27,3 +29,10 @@
     held = bodies.TargetBodies()
     held.add('a', 10**9)
     assert not held.list_full(10**9)
+
+
+def test_small_body_has_room_at_a_full_target():
+    """Ordinary requests were refused behind large ones."""
+    held = bodies.TargetBodies(limit_bytes=100 * KB)
+    held.add('a', 100 * KB)
+    assert not held.list_full(1000)
--- a/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt_stream.py
@@ -70,6 +70,11 @@
             return True
         return not self._attempt.has_length and not self.counts.complete
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the event that isn't complete yet."""
+        return self._reader.partial_bytes
+
     @property
     def counts(self) -> events.EventCounts:
         """Return what the target has sent so far."""
--- a/packages/bambooring/src/bambooring/forwarding/events.py
+++ b/packages/bambooring/src/bambooring/forwarding/events.py
@@ -123,6 +123,11 @@
         self._delivered = delivered
         self._is_continuation = delivered.last_id is not None
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the event that isn't complete yet."""
+        return len(self._buffer)
+
     @property
     def has_partial_event(self) -> bool:
         """Return whether the start of an incomplete event is buffered."""
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -223,6 +223,7 @@
             self._caller.write(data)
         else:
             self._forward_events(attempt, attempt.stream, data)
+            self.hold_answer(attempt.stream.partial_bytes)
         if self._caller.is_congested and not attempt.is_over:
             attempt.call.pause()
 
--- a/packages/core/src/bambooring_core/http1/connection.py
+++ b/packages/core/src/bambooring_core/http1/connection.py
@@ -187,6 +187,7 @@
         """
         if size <= const.SMALL_BODY_BYTES:
             self._body_held.resize(size)
+            self._server.schedule_relief()
             return
         if not self._body_held.try_resize(size):
             self._server.close_stalled(size - self._body_held.size, self)
@@ -221,12 +222,13 @@
     def _account(self) -> None:
         """Account for what is held besides the body of the request.
 
-        Input behind a running request isn't parsed yet.
+        That is output, and input that isn't parsed: behind a running request,
+        or a part of a head.
         """
         if not self.is_open:
             return
         size = len(self._out_buffer) + self._answer_bytes
-        if self._exchange is not None:
+        if not self._body:
             size += len(self._http.trailing_data[0])
         if size != self._other_held.size:
             self._other_held.resize(size)
--- a/packages/core/src/bambooring_core/http1/tests/test_limits.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_limits.py
@@ -196,6 +196,19 @@
     assert len(site.exchanges) == 1
 
 
+def test_many_small_bodies_are_bounded_too(make_site):
+    """Small uploads are always admitted, and there can be any number."""
+    site = make_site()
+    size = const.SMALL_BODY_BYTES
+    for _ in range(2 * TOTAL_BYTES // size):
+        site.connect(_make_head(size))
+    site.turn_until(lambda: site.budget.used_bytes)
+    site.wait(1.0)
+    assert 0 < site.budget.used_bytes <= TOTAL_BYTES
+    small = site.connect(_make_head(5) + b'small')
+    assert site.read(small).startswith(b'HTTP/1.1 200')
+
+
 def test_running_request_does_not_give_way(make_site):
     """A request that may have run can't be refused any more."""
     site = make_site()
