Play the order of service without a network, and spread the retries wider

Retry-After is drawn from the time until a late request finds room, up to 0.3 of the time left, instead of a shorter time that was cut off at the limit.

--- a/packages/bambooring/src/bambooring/forwarding/admission.py
+++ b/packages/bambooring/src/bambooring/forwarding/admission.py
@@ -121,9 +121,9 @@
     :param time_left_s: the time until the caller's deadline
     :param draw: a random number from 0 to 1
     """
-    spread_s = max(wait_s, mean_duration_s)
-    latest_s = max(
-        const.RETRY_AFTER_MIN_S,
-        min(const.MAX_RETRY_TIME_SHARE * time_left_s, const.RETRY_AFTER_MAX_S),
+    latest_s = min(
+        const.RETRY_AFTER_MIN_S + max(wait_s, mean_duration_s),
+        const.MAX_RETRY_TIME_SHARE * time_left_s,
     )
-    return min(const.RETRY_AFTER_MIN_S + draw * spread_s, latest_s)
+    spread_s = max(0.0, latest_s - const.RETRY_AFTER_MIN_S)
+    return const.RETRY_AFTER_MIN_S + draw * spread_s
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -492,6 +492,7 @@
                 pending.standing,
                 waiting=len(self._queues.get(service, ())),
                 draw=self._rng.random(),
+                now_s=now_s,
             )
         mean_duration_s = self._balancer.get_mean_duration_s(service)
         slots = max(capacity.slots, balancing_const.DEFAULT_SLOTS_PER_TARGET)
--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -416,6 +416,7 @@
         *,
         waiting: int,
         draw: float,
+        now_s: float,
     ) -> float:
         """Return after how long a refused caller should retry, in seconds.
 
@@ -423,15 +424,21 @@
         :param standing: its standing
         :param waiting: how many requests wait here
         :param draw: a random number from 0 to 1
+        :param now_s: the current time in seconds
         """
         service = request.service
         counts = self._balancer.loads.count_waiting_by_urgency(service)
         waiting += sum(counts[: standing.urgency + 1])
         mean_duration_s = self._balancer.get_mean_duration_s(service)
-        room = self._rooms.get(service)
-        slots = max(room.slots if room else 0.0, 1.0)
+        room = self._measure_room(service, now_s)
+        shares = self._get_state(service).dispatch_shares
+        # It will be late when it comes back.
+        left_share = max(
+            1 - sum(shares[: 2 * standing.urgency + 1]), const.MIN_LEFT_SHARE
+        )
+        wait_s = (1 + waiting / max(room.slots, 1.0)) * mean_duration_s
         return admission.compute_retry_after_s(
-            wait_s=(1 + waiting / slots) * mean_duration_s,
+            wait_s=wait_s / left_share,
             mean_duration_s=mean_duration_s,
             time_left_s=request.get_time_left_s(),
             draw=draw,
--- a/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
@@ -127,6 +127,7 @@
         self.tokens = tokens
         self.arrived_s = arrived_s
         self.refusals = 0
+        self.returned_s = -1.0
         self.first_byte_s = None
 
     @property
@@ -410,6 +411,8 @@
 
     def send(self, caller):
         """Send an attempt of a caller to a random instance."""
+        if caller.refusals:
+            caller.returned_s = self.clock.now()
         instance = self.rng.choice(self.instances)
         instance.dispatcher.dispatch_or_queue(Request(self, instance, caller))
 
