--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -53,6 +53,8 @@
 FAIRNESS_PRIOR_COUNT: typing.Final = 2.0
 # An instance gets few requests a second, too few for a shorter time.
 ORDERED_HALF_LIFE_S: typing.Final = 20.0
+# How long it is kept whether a waiting request's keys are starved.
+SHARES_VALID_S: typing.Final = 0.1
 # Subjects without bound share so many counts.
 SUBJECT_BUCKETS: typing.Final = 512
 
@@ -101,7 +103,7 @@
 OWN_SLOT_S: typing.Final = 0.002
 # How often an instance tries to get one of too few slots: the others have
 # heard by then if it was taken.
-SLOT_DRAW_INTERVAL_S: typing.Final = 0.08
+SLOT_DRAW_INTERVAL_S: typing.Final = 0.05
 # After an outage, requests that will be late leave this share of the slots to
 # those that can be on time.
 RECOVERY_ON_TIME_SHARE: typing.Final = 0.5
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -88,8 +88,10 @@
         ahead = [
             other for other in queue if other.get_queue_key(now_s) < queue_key
         ]
-        is_held_up = any(self._holds_up_others(other) for other in ahead)
-        if not is_held_up and self._try_dispatch(pending):
+        is_held_up = any(
+            self._holds_up_others(other, now_s) for other in ahead
+        )
+        if not is_held_up and self._try_dispatch(pending, now_s):
             return
         if decision.status is crashes.Status.PROBE:
             # Probes that waited would all be sent at once.
@@ -190,13 +192,13 @@
             pending.give_up(self._get_reject_reason(pending, now_s))
 
     def _holds_up_others(
-        self, queued: 'pending_request.PendingRequest'
+        self, queued: 'pending_request.PendingRequest', now_s: float
     ) -> bool:
         """Return whether requests behind a queued one wait for it.
 
         One that no untried target may take yet is passed by others.
         """
-        if not self._may_take_slot(queued):
+        if not self._may_take_slot(queued, now_s):
             return False
         return not queued.tried_targets or self.may_dispatch(queued)
 
@@ -317,9 +319,10 @@
             is_group_broken=self._balancer.is_group_broken(service),
         )
 
-    def _try_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
-        now_s = self._reactor.now()
-        if not self._may_take_slot(pending):
+    def _try_dispatch(
+        self, pending: 'pending_request.PendingRequest', now_s: float
+    ) -> bool:
+        if not self._may_take_slot(pending, now_s):
             return False
         choice = self._choose(pending, now_s)
         if choice is None:
@@ -328,10 +331,10 @@
         return True
 
     def _may_take_slot(
-        self, pending: 'pending_request.PendingRequest'
+        self, pending: 'pending_request.PendingRequest', now_s: float
     ) -> bool:
         return self.order.may_take_slot(
-            pending, self._queues[pending.service], self._reactor.now()
+            pending, self._queues[pending.service], now_s
         )
 
     def _send(
@@ -382,6 +385,8 @@
     def _poll_queues(self) -> None:
         self._poll_timer = None
         self.dispatch_queued()
+        for queue in self._queues.values():
+            self._give_up_hopeless(queue)
         if any(self._queues.values()):
             self._schedule_poll()
 
@@ -391,9 +396,8 @@
             now_s = self._reactor.now()
             self._give_up_overdue(queue, now_s)
             queue.sort(key=lambda pending: pending.get_queue_key(now_s))
-            while queue and self._dispatch_first(queue):
+            while queue and self._dispatch_first(queue, now_s):
                 pass
-            self._give_up_hopeless(queue)
 
     def _give_up_overdue(
         self, queue: list['pending_request.PendingRequest'], now_s: float
@@ -422,15 +426,14 @@
         return None
 
     def _dispatch_first(
-        self, queue: list['pending_request.PendingRequest']
+        self, queue: list['pending_request.PendingRequest'], now_s: float
     ) -> bool:
         """Send the first queued request that a target may take.
 
         :returns: whether there was one
         """
-        now_s = self._reactor.now()
         for pending in queue:
-            if not self._may_take_slot(pending):
+            if not self._may_take_slot(pending, now_s):
                 continue
             choice = self._choose(pending, now_s)
             if choice is not None:
--- a/packages/bambooring/src/bambooring/forwarding/ordering.py
+++ b/packages/bambooring/src/bambooring/forwarding/ordering.py
@@ -29,7 +29,8 @@
     ``is_returning`` means that this isn't the first. ``objective_s`` is the
     time to the first byte that the caller expects. ``size_key`` is the key
     under which requests of its route and size are counted, empty for sizes
-    that need no attention. ``subject_key`` is that of its subject.
+    that need no attention. ``subject_key`` is that of its subject. What was
+    last found about its shares is kept until ``shares_valid_until_s``.
     """
 
     urgency: int
@@ -41,6 +42,9 @@
     account_key: str
     size_key: str = ''
     subject_key: str = ''
+    is_underserved: bool = False
+    is_size_underserved: bool = False
+    shares_valid_until_s: float = 0.0
 
     @property
     def on_time_until_s(self) -> float:
@@ -59,8 +63,6 @@
     standing: Standing,
     *,
     is_response_started: bool,
-    is_underserved: bool,
-    is_size_underserved: bool,
     now_s: float,
 ) -> OrderedKey:
     """Return the sort key of a queued request; the lowest is served first.
@@ -72,16 +74,13 @@
 
     :param standing: the request
     :param is_response_started: whether its caller has a part of the response
-    :param is_underserved: whether its account, route or subject has too few
-        requests served
-    :param is_size_underserved: whether its size has, among those of its route
     :param now_s: the current time in seconds
     """
     return (
         not is_response_started,
-        not is_underserved,
+        not standing.is_underserved,
         standing.urgency,
-        not is_size_underserved,
+        not standing.is_size_underserved,
         standing.is_late(now_s),
         not standing.is_returning,
         standing.deadline_s,
--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -87,6 +87,7 @@
         self._rng = rng
         self._report_load = report_load
         self._states: dict[str, _ServiceState] = {}
+        # The room by service at one moment.
         self._rooms: dict[str, balancing.Room] = {}
         self._rooms_measured_s = 0.0
 
@@ -103,22 +104,30 @@
         now_s: float,
     ) -> ordering.OrderedKey:
         """Return the sort key of a request in its queue."""
+        self._update_shares(standing, request.service, now_s)
         return ordering.compute_ordered_key(
             standing,
             is_response_started=request.progress.is_response_started,
-            is_underserved=self._is_underserved(standing, request.service),
-            is_size_underserved=bool(standing.size_key)
-            and self._get_state(request.service).fairness.is_starved(
-                standing.size_key, const.STARVED_SIZE_SHARE, standing.route_key
-            ),
             now_s=now_s,
         )
 
-    def _is_underserved(
-        self, standing: ordering.Standing, service: str
-    ) -> bool:
+    def _update_shares(
+        self, standing: ordering.Standing, service: str, now_s: float
+    ) -> None:
+        """Find out again after a while whether a request's keys are starved.
+
+        A queue is sorted at every event; the shares change far more slowly.
+        """
+        if now_s < standing.shares_valid_until_s:
+            return
+        standing.shares_valid_until_s = now_s + const.SHARES_VALID_S
         tracker = self._get_state(service).fairness
-        return any(
+        standing.is_size_underserved = bool(
+            standing.size_key
+        ) and tracker.is_starved(
+            standing.size_key, const.STARVED_SIZE_SHARE, standing.route_key
+        )
+        standing.is_underserved = any(
             tracker.is_starved(key, const.STARVED_SHARE)
             for key in (
                 standing.route_key,
@@ -184,9 +193,7 @@
         standing = request.standing
         if standing is None:
             return urgency.LEAST_URGENT
-        if request.progress.is_response_started or self._is_underserved(
-            standing, request.service
-        ):
+        if request.progress.is_response_started or standing.is_underserved:
             return 0
         return standing.urgency
 
@@ -226,12 +233,11 @@
         before = sum(counts[:own_urgency])
         if not before:
             state.held = None
-            if not counts[own_urgency]:
-                return True
         room = self._measure_room(request.service, now_s)
         if not room.free:
             state.held = None
-            return True
+            # Others than the usual targets may be left for a retry.
+            return bool(request.progress.attempt_count)
         if room.free <= before and self._should_leave_slots(
             request.standing, state, room.free, before, now_s
         ):
--- a/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
@@ -23,6 +23,7 @@
 from bambooring.policy import urgency
 from bambooring.routing import budget
 from bambooring.targets import messages as targets
+from bambooring_core import reactor as reactor_module
 
 SERVICE = 'llm'
 OBJECTIVE_S = 0.407
@@ -55,10 +56,10 @@
     )
 
 
-class Clock:
+class Clock(reactor_module.Reactor):
     """Time and timers in the place of a reactor."""
 
-    def __init__(self):
+    def __init__(self):  # The parent would open a selector.
         self.now_s = 0.0
         self._timers = []
         self._numbers = itertools.count()
@@ -285,7 +286,12 @@
                 routes=list(routes),
                 services=[],
                 accounts=list(accounts),
-                limits=None,
+                limits=policy.CallerLimits(
+                    max_header_bytes=1,
+                    max_body_bytes=1,
+                    header_timeout_s=1,
+                    idle_timeout_s=1,
+                ),
             )
         )
         self.targets = {
@@ -418,7 +424,7 @@
 
     def summarize(self, start_s=0.0, end_s=float('inf')):
         """Return by kind the shares that were served and served on time."""
-        by_kind = {}
+        by_kind: dict[str, list[Caller]] = {}
         for caller in self.callers:
             if start_s <= caller.arrived_s < end_s:
                 by_kind.setdefault(caller.kind, []).append(caller)
--- a/packages/bambooring/src/bambooring/loads/tests/fleet.py
+++ b/packages/bambooring/src/bambooring/loads/tests/fleet.py
@@ -22,6 +22,7 @@
         self.domain = domain
         self.incarnation = incarnation
         self.running = {}
+        self.waiting_by_urgency = []
         self.loads = state.ClusterLoads()
         self.is_alive = True
         self.is_frozen = False
@@ -48,7 +49,13 @@
                 for id, count in self.running.items()
                 if count
             ],
-            services=[targets.ServiceLoad(service='llm', waiting=1)],
+            services=[
+                targets.ServiceLoad(
+                    service='llm',
+                    waiting=1,
+                    waiting_by_urgency=self.waiting_by_urgency,
+                )
+            ],
         )
 
     def count_seen(self, target):
--- a/packages/bambooring/src/bambooring/loads/tests/test_exchange.py
+++ b/packages/bambooring/src/bambooring/loads/tests/test_exchange.py
@@ -81,6 +81,33 @@
         assert instance.loads.count_waiting('llm') == 99
 
 
+def test_waiting_requests_are_summed_by_urgency():
+    """Slots would be left to the wrong ones if a sum lost the urgency.
+
+    Senders that don't tell it have least urgent requests only.
+    """
+    fleet = _make_fleet(domains=2)
+    for index, instance in enumerate(fleet.instances.values()):
+        instance.waiting_by_urgency = [1] if index % 2 else []
+        fleet.add_request(instance.address, 'target-0')
+    fleet.run(TWO_INTERVALS_S)
+    counts = fleet.list_living()[0].loads.count_waiting_by_urgency('llm')
+    assert counts == [20] + [0] * 8 + [19]
+
+
+def test_old_counts_by_urgency_expire():
+    """The counts of an instance that is cut off would hold slots back."""
+    fleet = _make_fleet(domains=2, per_domain=2)
+    for instance in fleet.instances.values():
+        instance.waiting_by_urgency = [1]
+        fleet.add_request(instance.address, 'target-0')
+    fleet.run(TWO_INTERVALS_S)
+    first = fleet.list_living()[0]
+    assert sum(first.loads.count_waiting_by_urgency('llm')) == 3
+    first.loads.expire(fleet.now_s + const.PEER_LOAD_TTL_S + 0.1)
+    assert not any(first.loads.count_waiting_by_urgency('llm'))
+
+
 def test_small_fleet_reports_directly():
     """Up to a few dozen instances nothing waits for a relay."""
     fleet = _make_fleet(domains=3, per_domain=6)
