--- a/measures/__main__.py
+++ b/measures/__main__.py
@@ -15,6 +15,7 @@
     'blocking',
     'retries',
     'spill',
+    'order',
 )
 
 
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -468,6 +468,7 @@
         self.loads.expire(now_s)
         limit = self._limits_by_service.get(service)
         room = Room(free=0, slots=0.0, running=0)
+        count_running = self.loads.count_running
         for target in self._list_candidates(service, now_s, ()):
             slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
             limit_per_target = (
@@ -475,10 +476,13 @@
             )
             room.slots += min(slots, limit_per_target)
             max_running = min(slots + extra_requests, limit_per_target)
-            running = self.count_running(target.id)
+            running = count_running(target.id)
+            if target.id in self._own_loads:
+                running += self._own_loads[target.id].running
             room.running += running
-            max_running /= self._groups.get_slowdown(target)
-            room.free += max(0, math.floor(max_running) - running)
+            if running < max_running:
+                max_running /= self._groups.get_slowdown(target)
+                room.free += max(0, math.floor(max_running) - running)
         return room
 
     def is_recovering(self, service: str) -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -96,7 +96,8 @@
                 other.allowed_domains, pending.allowed_domains
             )
         ]
-        if not self._is_held_up(ahead) and self._try_dispatch(pending):
+        is_held_up = self._is_held_up(ahead, now_s)
+        if not is_held_up and self._try_dispatch(pending, now_s):
             return
         if decision.status is crashes.Status.PROBE:
             # Probes that waited would all be sent at once.
@@ -200,7 +201,7 @@
             pending.give_up(self._get_reject_reason(pending, now_s))
 
     def _is_held_up(
-        self, ahead: list['pending_request.PendingRequest']
+        self, ahead: list['pending_request.PendingRequest'], now_s: float
     ) -> bool:
         """Return whether a request waits for others that are queued.
 
@@ -209,7 +210,7 @@
         """
         full_domains: set[regions.Domains] = set()
         for queued in ahead:
-            if not self._may_take_slot(queued):
+            if not self._may_take_slot(queued, now_s):
                 continue
             if self._may_use_any_target(queued):
                 if queued.allowed_domains is None:
@@ -354,9 +355,10 @@
             is_group_broken=self._balancer.is_group_broken(service),
         )
 
-    def _try_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
-        now_s = self._reactor.now()
-        if not self._may_take_slot(pending):
+    def _try_dispatch(
+        self, pending: 'pending_request.PendingRequest', now_s: float
+    ) -> bool:
+        if not self._may_take_slot(pending, now_s):
             return False
         choice = self._choose(pending, now_s)
         if choice is None:
@@ -365,10 +367,10 @@
         return True
 
     def _may_take_slot(
-        self, pending: 'pending_request.PendingRequest'
+        self, pending: 'pending_request.PendingRequest', now_s: float
     ) -> bool:
         return self.order.may_take_slot(
-            pending, self._queues[pending.service], self._reactor.now()
+            pending, self._queues[pending.service], now_s
         )
 
     def _send(
@@ -434,6 +436,8 @@
     def _poll_queues(self) -> None:
         self._poll_timer = None
         self.dispatch_queued()
+        for queue in self._queues.values():
+            self._give_up_hopeless(queue)
         if any(self._queues.values()):
             self._schedule_poll()
 
@@ -447,10 +451,9 @@
             queue.sort(key=lambda pending: pending.get_queue_key(now_s))
             allowed = self.slot_shares.draw(service, len(queue), now_s)
             while queue and self._may_send_first(queue, allowed):
-                if not self._dispatch_first(queue):
+                if not self._dispatch_first(queue, now_s):
                     break
                 allowed -= 1
-            self._give_up_hopeless(queue)
 
     def _may_send_first(
         self, queue: list['pending_request.PendingRequest'], allowed: int
@@ -496,16 +499,15 @@
         return None
 
     def _dispatch_first(
-        self, queue: list['pending_request.PendingRequest']
+        self, queue: list['pending_request.PendingRequest'], now_s: float
     ) -> bool:
         """Send the first queued request that a target may take.
 
         :returns: whether there was one
         """
-        now_s = self._reactor.now()
         full_domains: set[regions.Domains] = set()
         for pending in queue:
-            if not self._may_take_slot(pending):
+            if not self._may_take_slot(pending, now_s):
                 continue
             is_untried = self._may_use_any_target(pending)
             if is_untried and pending.allowed_domains in full_domains:
@@ -571,6 +573,7 @@
                 pending.standing,
                 waiting=len(self._queues.get(service, ())),
                 draw=self._rng.random(),
+                now_s=now_s,
             )
         mean_duration_s = self._balancer.get_mean_duration_s(service)
         slots = max(capacity.slots, balancing_const.DEFAULT_SLOTS_PER_TARGET)
--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -88,7 +88,7 @@
         self._report_load = report_load
         self._states: dict[str, _ServiceState] = {}
         self._rooms: dict[str, balancing.Room] = {}
-        self._rooms_measured_s = 0.0
+        self._rooms_valid_until_s = 0.0
 
     def _get_state(self, service: str) -> _ServiceState:
         state = self._states.get(service)
@@ -103,22 +103,30 @@
         now_s: float,
     ) -> ordering.OrderedKey:
         """Return the sort key of a request in its queue."""
+        self._update_shares(standing, request.service, now_s)
         return ordering.compute_ordered_key(
             standing,
             is_response_started=request.progress.is_response_started,
-            is_underserved=self._is_underserved(standing, request.service),
-            is_size_underserved=bool(standing.size_key)
-            and self._get_state(request.service).fairness.is_starved(
-                standing.size_key, const.STARVED_SIZE_SHARE, standing.route_key
-            ),
             now_s=now_s,
         )
 
-    def _is_underserved(
-        self, standing: ordering.Standing, service: str
-    ) -> bool:
+    def _update_shares(
+        self, standing: ordering.Standing, service: str, now_s: float
+    ) -> None:
+        """Find out again after a while whether a request's keys are starved.
+
+        A queue is sorted at every event; the shares change far more slowly.
+        """
+        if now_s < standing.shares_valid_until_s:
+            return
+        standing.shares_valid_until_s = now_s + const.SHARES_VALID_S
         tracker = self._get_state(service).fairness
-        return any(
+        standing.is_size_underserved = bool(
+            standing.size_key
+        ) and tracker.is_starved(
+            standing.size_key, const.STARVED_SIZE_SHARE, standing.route_key
+        )
+        standing.is_underserved = any(
             tracker.is_starved(key, const.STARVED_SHARE)
             for key in (
                 standing.route_key,
@@ -184,9 +192,7 @@
         standing = request.standing
         if standing is None:
             return urgency.LEAST_URGENT
-        if request.progress.is_response_started or self._is_underserved(
-            standing, request.service
-        ):
+        if request.progress.is_response_started or standing.is_underserved:
             return 0
         return standing.urgency
 
@@ -226,12 +232,11 @@
         before = sum(counts[:own_urgency])
         if not before:
             state.held = None
-            if not counts[own_urgency]:
-                return True
         room = self._measure_room(request.service, now_s)
         if not room.free:
             state.held = None
-            return True
+            # Others than the usual targets may be left for a retry.
+            return bool(request.progress.attempt_count)
         if room.free <= before and self._should_leave_slots(
             request.standing, state, room.free, before, now_s
         ):
@@ -337,10 +342,14 @@
         return room.free > const.RECOVERY_ON_TIME_SHARE * room.slots
 
     def _measure_room(self, service: str, now_s: float) -> balancing.Room:
-        """Return the room at the targets, measured once at each moment."""
-        if service not in self._rooms or self._rooms_measured_s != now_s:
+        """Return the room at the targets, measured a moment ago at most.
+
+        It only decides who may ask for a slot: the balancer looks again.
+        """
+        if now_s >= self._rooms_valid_until_s:
             self._rooms.clear()
-            self._rooms_measured_s = now_s
+            self._rooms_valid_until_s = now_s + const.ROOM_VALID_S
+        if service not in self._rooms:
             self._rooms[service] = self._balancer.measure_room(service, now_s)
         return self._rooms[service]
 
@@ -416,6 +425,7 @@
         *,
         waiting: int,
         draw: float,
+        now_s: float,
     ) -> float:
         """Return after how long a refused caller should retry, in seconds.
 
@@ -423,15 +433,21 @@
         :param standing: its standing
         :param waiting: how many requests wait here
         :param draw: a random number from 0 to 1
+        :param now_s: the current time in seconds
         """
         service = request.service
         counts = self._balancer.loads.count_waiting_by_urgency(service)
         waiting += sum(counts[: standing.urgency + 1])
         mean_duration_s = self._balancer.get_mean_duration_s(service)
-        room = self._rooms.get(service)
-        slots = max(room.slots if room else 0.0, 1.0)
+        room = self._measure_room(service, now_s)
+        shares = self._get_state(service).dispatch_shares
+        # It will be late when it comes back.
+        left_share = max(
+            1 - sum(shares[: 2 * standing.urgency + 1]), const.MIN_LEFT_SHARE
+        )
+        wait_s = (1 + waiting / max(room.slots, 1.0)) * mean_duration_s
         return admission.compute_retry_after_s(
-            wait_s=(1 + waiting / slots) * mean_duration_s,
+            wait_s=wait_s / left_share,
             mean_duration_s=mean_duration_s,
             time_left_s=request.get_time_left_s(),
             draw=draw,
--- a/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
@@ -14,6 +14,7 @@
 from bambooring.balancing import state as balancing
 from bambooring.crashes import state as crashes
 from bambooring.forwarding import arrivals
+from bambooring.forwarding import const
 from bambooring.forwarding import decisions
 from bambooring.forwarding import dispatcher as dispatcher_module
 from bambooring.forwarding import messages
@@ -23,11 +24,13 @@
 from bambooring.policy import urgency
 from bambooring.routing import budget
 from bambooring.targets import messages as targets
+from bambooring_core import reactor as reactor_module
 
 SERVICE = 'llm'
 OBJECTIVE_S = 0.407
 TIME_S = 8.1
 READ_S = 0.1
+REFUSAL_S = 0.005
 # Within a failure domain each change is reported; sums go to the others.
 NEAR_DELAY_S = 0.0015
 FAR_DELAY_S = 0.06
@@ -55,12 +58,12 @@
     )
 
 
-class Clock:
+class Clock(reactor_module.Reactor):
     """Time and timers in the place of a reactor."""
 
-    def __init__(self):
+    def __init__(self):  # The parent would open a selector.
         self.now_s = 0.0
-        self._timers = []
+        self._due_calls: list[tuple] = []
         self._numbers = itertools.count()
 
     def now(self):
@@ -70,7 +73,7 @@
     def call_later(self, delay_s, callback):
         """Call something after a delay."""
         due_s = self.now_s + max(0.0, delay_s)
-        heapq.heappush(self._timers, (due_s, next(self._numbers), callback))
+        heapq.heappush(self._due_calls, (due_s, next(self._numbers), callback))
 
     def call_every(self, interval_s, callback):
         """Call something again and again."""
@@ -79,10 +82,10 @@
             interval_s, lambda: self.call_every(interval_s, callback)
         )
 
-    def run(self, end_s):
+    def run_until(self, end_s):
         """Call all that is due until a time."""
-        while self._timers and self._timers[0][0] <= end_s:
-            self.now_s, _, callback = heapq.heappop(self._timers)
+        while self._due_calls and self._due_calls[0][0] <= end_s:
+            self.now_s, _, callback = heapq.heappop(self._due_calls)
             callback()
         self.now_s = end_s
 
@@ -97,6 +100,9 @@
 
     def take(self, request):
         """Run a request, or queue it by its urgency."""
+        if self._fleet.is_standing:
+            self._fleet.clock.call_later(REFUSAL_S, request.refuse)
+            return
         self._queue.append(request)
         self._queue.sort(key=lambda item: item.get_header_urgency())
         self._start_next()
@@ -127,6 +133,7 @@
         self.tokens = tokens
         self.arrived_s = arrived_s
         self.refusals = 0
+        self.returned_s = -1.0
         self.first_byte_s = None
 
     @property
@@ -152,6 +159,7 @@
         self.deadline_s = caller.arrived_s + TIME_S
         self.queue_deadline_s = self.deadline_s
         self.max_wait_s = 1.6
+        self.allowed_domains = None
         self.objective_s = self.route.first_byte_objective_s
         self.progress = decisions.Progress()
         self.tried_targets = set()
@@ -242,6 +250,19 @@
         )
         self._instance.dispatcher.dispatch_queued()
 
+    def refuse(self):
+        """Try again after a target has refused the request."""
+        balancer = self._instance.balancer
+        balancer.remove_request(self._target_id, 0)
+        balancer.record_refusal(
+            self._target_id, SERVICE, self._fleet.clock.now()
+        )
+        self.progress.refused_count += 1
+        if self.progress.refused_count > const.MAX_REFUSED_ATTEMPTS:
+            self.give_up(const.Reason.TARGET_REFUSED)
+        else:
+            self._instance.dispatcher.dispatch_or_queue(self)
+
     def give_up(self, reason):
         """Refuse the request; the caller comes back once."""
         dispatcher = self._instance.dispatcher
@@ -284,7 +305,12 @@
                 routes=list(routes),
                 services=[],
                 accounts=list(accounts),
-                limits=None,
+                limits=policy.CallerLimits(
+                    max_header_bytes=1,
+                    max_body_bytes=1,
+                    header_timeout_s=1,
+                    idle_timeout_s=1,
+                ),
             )
         )
         self.targets = {
@@ -292,6 +318,7 @@
         }
         self.capacity_per_s = SLOTS * target_count / duration_s
         self.callers = []
+        self.is_standing = False
         self.held_s = []
         self.retry_waits_s = []
         self.instances = [
@@ -336,7 +363,11 @@
         return instance
 
     def set_group(self, *, epoch, is_open):
-        """Announce the targets with the state of their group."""
+        """Announce the targets with the state of their group.
+
+        While it is broken, targets refuse what they get.
+        """
+        self.is_standing = not is_open
         for instance in self.instances:
             instance.balancer.set_targets(
                 targets.Target(
@@ -410,12 +441,14 @@
 
     def send(self, caller):
         """Send an attempt of a caller to a random instance."""
+        if caller.refusals:
+            caller.returned_s = self.clock.now()
         instance = self.rng.choice(self.instances)
         instance.dispatcher.dispatch_or_queue(Request(self, instance, caller))
 
     def summarize(self, start_s=0.0, end_s=float('inf')):
         """Return by kind the shares that were served and served on time."""
-        by_kind = {}
+        by_kind: dict[str, list[Caller]] = {}
         for caller in self.callers:
             if start_s <= caller.arrived_s < end_s:
                 by_kind.setdefault(caller.kind, []).append(caller)
