Answer permit requests of any limit, and count no unreachable cold targets

Causes: a request that names the limit 0, after grants of other requests, ended the agent, because no recent grant was found to wait for. Without a port of agents in the settings cold targets still counted as capacity, so requests waited for permits that nobody could be asked for. Change: the wait is then 0, and such targets are no capacity.

--- a/packages/agent/src/bambooring_agent/permits/state.py
+++ b/packages/agent/src/bambooring_agent/permits/state.py
@@ -132,7 +132,8 @@
         if self._count_recent(now_s) >= _get_burst(limit):
             since_s = now_s - permits_const.BURST_WINDOW_S
             first_s = next(
-                sent_s for sent_s, _ in self._grants if sent_s > since_s
+                (sent_s for sent_s, _ in self._grants if sent_s > since_s),
+                now_s,
             )
             wait_s = first_s + permits_const.BURST_WINDOW_S - now_s
         if sum(count for _, count in self._grants) >= limit:
--- a/packages/agent/src/bambooring_agent/permits/tests/test_state.py
+++ b/packages/agent/src/bambooring_agent/permits/tests/test_state.py
@@ -114,6 +114,15 @@
     assert _get_refusal_wait_ms(ledger, OPEN_S + 0.05) == 150
 
 
+def test_lower_limit_of_a_later_request():
+    """A policy lowers the limit, and names 0 in the end."""
+    ledger = state.PermitLedger(0.0)
+    assert _take_all(ledger, OPEN_S) == 8
+    for limit in (5, 1, 0):
+        now_s = OPEN_S + 0.5 - limit / 100
+        assert not _take_all(ledger, now_s, limit_per_s=limit)
+
+
 def test_memory_is_bounded():
     """Ever new senders, and a limit of any size."""
     ledger = state.PermitLedger(0.0)
--- a/packages/bambooring/src/bambooring/balancing/permits.py
+++ b/packages/bambooring/src/bambooring/balancing/permits.py
@@ -108,8 +108,9 @@
     """Know the cold targets, and hold the permits of this instance.
 
     ``runs`` are the cold runs of targets, also of services without a limit.
-    ``on_demand`` is called when a request could use a permit. ``outcomes``
-    counts what became of requests for permits and of permits.
+    ``on_demand`` is called when a request could use a permit; it is None if
+    there is no way to ask for them. ``outcomes`` counts what became of
+    requests for permits and of permits.
     """
 
     def __init__(
@@ -252,10 +253,11 @@
     def is_reachable(self, target: targets.Target) -> bool:
         """Return whether a target is warm or its agent may grant permits."""
         cold = self._get(target)
+        if cold is None or cold.permit_ends_s:
+            return True
         return (
-            cold is None
-            or cold.unanswered_count < const.UNANSWERED_ASKS_LIMIT
-            or bool(cold.permit_ends_s)
+            self.on_demand is not None
+            and cold.unanswered_count < const.UNANSWERED_ASKS_LIMIT
         )
 
     def withhold(
--- a/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
@@ -184,6 +184,14 @@
     assert instance.balancer.get_capacity('llm', 1).usable_target_count
 
 
+def test_without_a_port_of_agents_cold_targets_are_no_capacity():
+    """Requests would wait though nobody can be asked."""
+    instance = _Instance(_make_target('1'))
+    instance.cold.on_demand = None
+    assert instance.choose() is None
+    assert not instance.balancer.get_capacity('llm', 0.0).usable_target_count
+
+
 def test_target_that_was_warm_is_left_alone_first():
     """What was sent without permits counts within the same second."""
     warm = _make_target('1', cold_ms=0)
