Wait until all instances know of a target that is cold again

Cause: the first instance that learns it, from a response, asked for permits 1.1 s later. The others go on to send without permits until the next heartbeat tells them, up to 1.2 s later, and connecting may take 0.3 s. Both counted within the same second. Change: an instance that knew the target as warm asks 1.4 s after an announcement and 2.6 s after a response. Ruled out: reporting the unpermitted requests to the agent; only instances that ask would report theirs.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -80,8 +80,11 @@
 
 # An instance that knew a target as warm has sent requests without permits. It
 # asks for permits once these don't count any more: after the second for which
-# the limit holds, and the time that a request may be under way.
-COLD_AGAIN_DELAY_S: typing.Final = 1.1
+# the limit holds, and the 0.4 s that connecting and sending may take. If a
+# response said that the target is cold, the other instances go on until the
+# next heartbeat tells them, up to so much later.
+COLD_AGAIN_DELAY_S: typing.Final = 1.4
+COLD_NEWS_DELAY_S: typing.Final = 1.2
 
 # A permit is not used if it expires within this time: connecting to a target
 # in another failure domain would take longer.
--- a/packages/bambooring/src/bambooring/balancing/permits.py
+++ b/packages/bambooring/src/bambooring/balancing/permits.py
@@ -155,7 +155,8 @@
     ) -> None:
         """Record whether an announcement that has just arrived says cold."""
         if target.cold_ms:
-            self._set_cold(target, target.cold_ms, now_s)
+            delay_s = const.COLD_AGAIN_DELAY_S
+            self._set_cold(target, target.cold_ms, now_s, delay_s)
             return
         run = runs_module.get_run(target)
         cold = self.runs.get(run)
@@ -173,12 +174,21 @@
         :param cold_ms: for how long it is cold from when it responded
         :param now_s: the current time in seconds
         """
-        cold = self._set_cold(target, cold_ms, now_s)
+        delay_s = const.COLD_AGAIN_DELAY_S + const.COLD_NEWS_DELAY_S
+        cold = self._set_cold(target, cold_ms, now_s, delay_s)
         cold.stated_s = now_s
 
     def _set_cold(
-        self, target: targets.Target, cold_ms: int, now_s: float
+        self,
+        target: targets.Target,
+        cold_ms: int,
+        now_s: float,
+        again_delay_s: float,
     ) -> _ColdRun:
+        """Treat a target as cold, if it isn't yet.
+
+        :param again_delay_s: how long to ask for no permits if it was warm
+        """
         run = runs_module.get_run(target)
         until_s = now_s + cold_ms / 1000 + const.COLD_MARGIN_S
         cold = self.runs.get(run)
@@ -189,7 +199,7 @@
         if run in self._warm_runs:
             # Requests that were sent without a permit may still arrive, and
             # they count within the same second.
-            cold.ask_from_s = now_s + const.COLD_AGAIN_DELAY_S
+            cold.ask_from_s = now_s + again_delay_s
             self._warm_runs.discard(run)
         self.runs[run] = cold
         self._next_end_s = min(self._next_end_s, until_s)
--- a/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
@@ -193,14 +193,27 @@
 
 
 def test_target_that_was_warm_is_left_alone_first():
-    """What was sent without permits counts within the same second."""
+    """What was sent without permits counts within the same second.
+
+    Other instances learn only from the next heartbeat what a response said.
+    """
     warm = _make_target('1', cold_ms=0)
-    instance = _Instance(warm)
-    assert instance.choose() == '1'
-    instance.cold.record_statement(warm, 5000, 1.0)
-    assert instance.choose(1.0) is None
-    assert not instance.ask(now_s=1.0 + permits_const.LIMIT_WINDOW_S)
-    assert instance.ask(now_s=1.0 + const.COLD_AGAIN_DELAY_S)
+    for record, delay_s in (
+        (
+            lambda cold: cold.record_announcement(_make_target('1'), 1.0),
+            const.COLD_AGAIN_DELAY_S,
+        ),
+        (
+            lambda cold: cold.record_statement(warm, 60_000, 1.0),
+            const.COLD_AGAIN_DELAY_S + const.COLD_NEWS_DELAY_S,
+        ),
+    ):
+        instance = _Instance(warm)
+        assert instance.choose() == '1'
+        record(instance.cold)
+        assert instance.choose(1.0) is None
+        assert not instance.ask(now_s=0.99 + delay_s)
+        assert instance.ask(now_s=1.01 + delay_s)
 
 
 def test_announcement_from_before_a_statement():
