Test that permits don't add to requests sent before a target was cold

All targets of a domain may become cold again at once. The test has each instance learn it at its own time, and checks that no permit is used within a second of the last request without one.

--- a/tests/permit_fleet.py
+++ b/tests/permit_fleet.py
@@ -45,7 +45,8 @@
 class Fleet:
     """Entry instances, agents and the network between them.
 
-    ``arrivals`` are the times at which requests reach each target.
+    ``arrivals`` are the times at which requests reach each target,
+    ``warm_arrivals`` those of the requests that were sent without a permit.
     """
 
     def __init__(self, *, seed, entry_count, target_list, rate_per_s):
@@ -54,6 +55,7 @@
         self.rate_per_s = rate_per_s
         self.targets = target_list
         self.arrivals = collections.defaultdict(list)
+        self.warm_arrivals = collections.defaultdict(list)
         self.ledgers = {}
         self.loss = 0.0
         self.late_share = 0.0
@@ -168,7 +170,7 @@
         balancer.add_request(target.id, 1)
 
         def write():
-            if permit.is_valid():
+            if permit is None or permit.is_valid():
                 transit_s = self.fleet.rng.choice((0.0005, 0.0014, 0.099))
                 self.fleet.at(transit_s, arrive)
             self.fleet.at(RUN_TIME_S, end)
@@ -177,6 +179,8 @@
             if not self.fleet.is_cut(self.domain, target.failure_domain):
                 now_s = self.fleet.clock.now()
                 self.fleet.arrivals[target.id].append(now_s)
+                if permit is None:
+                    self.fleet.warm_arrivals[target.id].append(now_s)
 
         def end():
             balancer.remove_request(target.id, 1)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,5 +1,6 @@
 """Keep cold targets under their limit, whatever instances know or suffer."""
 
+import itertools
 import random
 
 import pytest
@@ -118,6 +119,50 @@
     assert 0 < highest <= permit_fleet.LIMIT
 
 
+@pytest.mark.parametrize('seed', range(6))
+def test_warm_targets_become_cold_at_once(seed):
+    """Permits don't add to what was sent before all instances knew.
+
+    Each instance learns it from a heartbeat, and some before from a response.
+    """
+    fleet = permit_fleet.Fleet(
+        seed=seed,
+        entry_count=12,
+        target_list=[permit_fleet.make_target(i, cold_ms=0) for i in range(4)],
+        rate_per_s=10.0,
+    )
+    fleet.run(3.0)
+    for index, entry in itertools.product(range(4), fleet.entries):
+        cold = permit_fleet.make_target(index, sequence=2)
+
+        def announce(cold=cold, entry=entry):
+            entry.cold.record_announcement(cold, fleet.clock.now())
+
+        def state(cold=cold, entry=entry):
+            entry.cold.record_statement(cold, 60_000, fleet.clock.now())
+
+        fleet.at(fleet.rng.uniform(0.9, 1.2), announce)
+        if fleet.rng.random() < 0.3:
+            fleet.at(fleet.rng.uniform(0.0, 1.0), state)
+    fleet.run(5.0)
+    for target in fleet.targets:
+        last_warm_s = fleet.warm_arrivals[target.id][-1]
+        cold_arrivals = [
+            arrived_s
+            for arrived_s in fleet.arrivals[target.id]
+            if arrived_s > last_warm_s
+        ]
+        assert len(fleet.arrivals[target.id]) == len(cold_arrivals) + len(
+            fleet.warm_arrivals[target.id]
+        )
+        gap_s = cold_arrivals[0] - last_warm_s
+        assert gap_s >= permits_const.LIMIT_WINDOW_S
+        assert (
+            permit_fleet.find_highest_count(cold_arrivals)
+            <= permit_fleet.LIMIT
+        )
+
+
 def test_domain_that_is_cut_off_reaches_its_own_agents():
     """Its targets get their rate from its own instances."""
     fleet = permit_fleet.Fleet(
