Move the types of the permits into a module of their own

Only classes are moved and renamed; the tests of balancing, gateway, the cold statements and tests/test_permits.py pass.

--- a/packages/bambooring/src/bambooring/balancing/permits.py
+++ b/packages/bambooring/src/bambooring/balancing/permits.py
@@ -19,6 +19,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import permit_types
 from bambooring.balancing import runs as runs_module
 from bambooring.policy import messages as policy
 from bambooring.targets import messages as targets
@@ -39,56 +40,6 @@
         return self.clock.now() < self.end_s
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _ColdRun:
-    """A run of a target that is cold until ``until_s``.
-
-    ``stated_s`` is when a response of the target last said that it is cold.
-    No permits are requested before ``ask_from_s``. ``awaited_sequence`` is
-    the request that has no answer yet, 0 for none; ``unanswered_count`` is
-    how many in a row had none. ``permit_ends_s`` are the times at which the
-    held permits expire, in rising order.
-    """
-
-    target: targets.Target
-    until_s: float
-    stated_s: float = -math.inf
-    ask_from_s: float = 0.0
-    asked_s: float = -math.inf
-    awaited_sequence: int = 0
-    unanswered_count: int = 0
-    permit_ends_s: list[float] = dataclasses.field(default_factory=list)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Ask:
-    """A request for permits, sent at ``sent_s`` of the permits' clock."""
-
-    run: runs_module.Run
-    wanted: int
-    sent_s: float
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Demand:
-    """Cold targets that could serve a request, the best one first.
-
-    ``is_blocked`` means that no other target could take the request.
-    """
-
-    targets: list[targets.Target]
-    is_blocked: bool
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class ColdChange:
-    """A target that has become cold or warm, for the log."""
-
-    target: targets.Target
-    is_cold: bool
-    remaining_s: float
-
-
 def compute_limit(
     service: policy.Service, overrun: float, slack: float
 ) -> int:
@@ -120,15 +71,15 @@
         self.clock = clock or clock_module.BootClock()
         self.on_demand: collections.abc.Callable[[], None] | None = None
         self.outcomes: collections.Counter[str] = collections.Counter()
-        self._changes: dict[runs_module.Run, ColdChange] = {}
+        self._changes: dict[runs_module.Run, permit_types.ColdChange] = {}
         self._limits: dict[str, int] = {}
-        self.runs: dict[runs_module.Run, _ColdRun] = {}
+        self.runs: dict[runs_module.Run, permit_types.ColdRun] = {}
         self._warm_runs: set[runs_module.Run] = set()
         self._next_end_s = math.inf
         # What the last call of ``withhold`` left out and may be asked for.
         self._withheld: list[targets.Target] = []
-        self._demands: dict[str, _Demand] = {}
-        self._asks: dict[int, _Ask] = {}
+        self._demands: dict[str, permit_types.Demand] = {}
+        self._asks: dict[int, permit_types.Ask] = {}
         self._sequence = 0
 
     def set_limits(self, limits: collections.abc.Mapping[str, int]) -> None:
@@ -184,7 +135,7 @@
         cold_ms: int,
         now_s: float,
         again_delay_s: float,
-    ) -> _ColdRun:
+    ) -> permit_types.ColdRun:
         """Treat a target as cold, if it isn't yet.
 
         :param again_delay_s: how long to ask for no permits if it was warm
@@ -195,7 +146,7 @@
         if cold is not None:
             cold.until_s = max(cold.until_s, until_s)
             return cold
-        cold = _ColdRun(target=target, until_s=until_s)
+        cold = permit_types.ColdRun(target=target, until_s=until_s)
         if run in self._warm_runs:
             # Requests that were sent without a permit may still arrive, and
             # they count within the same second.
@@ -203,7 +154,7 @@
             self._warm_runs.discard(run)
         self.runs[run] = cold
         self._next_end_s = min(self._next_end_s, until_s)
-        self._changes[run] = ColdChange(
+        self._changes[run] = permit_types.ColdChange(
             target=target, is_cold=True, remaining_s=until_s - now_s
         )
         return cold
@@ -212,7 +163,7 @@
         cold = self.runs.pop(run)
         self.outcomes['expired'] += len(cold.permit_ends_s)
         self._warm_runs.add(run)
-        self._changes[run] = ColdChange(
+        self._changes[run] = permit_types.ColdChange(
             target=cold.target, is_cold=False, remaining_s=0.0
         )
 
@@ -228,13 +179,13 @@
             default=math.inf,
         )
 
-    def take_changes(self) -> list[ColdChange]:
+    def take_changes(self) -> list[permit_types.ColdChange]:
         """Return the targets that became cold or warm since the last call."""
         changes = list(self._changes.values())
         self._changes.clear()
         return changes
 
-    def _get(self, target: targets.Target) -> _ColdRun | None:
+    def _get(self, target: targets.Target) -> permit_types.ColdRun | None:
         """Return the state of a cold target whose service has a limit."""
         if not self.runs or target.service not in self._limits:
             return None
@@ -305,7 +256,9 @@
             return rng.sample(near, count)
         return near + rng.sample(far, count - len(near))
 
-    def _has_permit(self, cold: _ColdRun, boot_now_s: float) -> bool:
+    def _has_permit(
+        self, cold: permit_types.ColdRun, boot_now_s: float
+    ) -> bool:
         """Drop the permits that are about to expire, and look for others."""
         ends_s = cold.permit_ends_s
         oldest_end_s = boot_now_s + const.PERMIT_RESERVE_S
@@ -354,7 +307,7 @@
         """
         if not wanted_targets or self.on_demand is None:
             return
-        self._demands[service] = _Demand(
+        self._demands[service] = permit_types.Demand(
             targets=wanted_targets, is_blocked=is_blocked
         )
         self.on_demand()
@@ -426,7 +379,7 @@
         return count
 
     def _choose_asked(
-        self, demand: _Demand, needed: int, now_s: float
+        self, demand: permit_types.Demand, needed: int, now_s: float
     ) -> list[targets.Target]:
         """Return whom to ask, enough for the needed number of permits.
 
@@ -467,7 +420,7 @@
         cold.ask_from_s = now_s + const.PERMIT_ANSWER_TIMEOUT_S
         if cold.unanswered_count >= const.UNANSWERED_ASKS_LIMIT:
             cold.ask_from_s = now_s + const.SILENT_AGENT_ASK_INTERVAL_S
-        self._asks[self._sequence] = _Ask(
+        self._asks[self._sequence] = permit_types.Ask(
             run=run, wanted=wanted, sent_s=boot_now_s
         )
         self.outcomes['asked'] += wanted
