Choose the least loaded of some random targets, not of all

Change: a sample of 6, if other instances report load at all. Cold targets with a permit are always in it.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -9,6 +9,11 @@
 # Used for targets that don't report their number of slots.
 DEFAULT_SLOTS_PER_TARGET: typing.Final = 4
 
+# How many random targets the least loaded one is chosen from. With fewer,
+# loads differ by chance; with many more, instances that choose within the delay
+# of the load reports choose the same target.
+CHOICE_SAMPLE_SIZE: typing.Final = 6
+
 # A failed target is ejected for the minimum time. Each further failure
 # doubles the time up to the maximum; a complete response resets it.
 EJECTION_MIN_S: typing.Final = 0.5
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -85,6 +85,10 @@
     running: int
 
 
+# A target and what all instances have running there.
+LoadedTarget = tuple[targets.Target, peers_module.RunningLoad]
+
+
 class Balancer:
     """Choose targets by their load and health, as one instance knows them."""
 
@@ -275,23 +279,31 @@
                 duration_s=self.get_mean_duration_s(service),
                 rng=self._rng,
             )
-        scored_candidates = [
+        ranked = [
             (
                 not may_probe and self._may_be_put_off(target, now_s),
                 prefers_serving and not self._serves_with_room(target, load),
-                self._score(target, load),
                 target,
+                load,
             )
             for target, load in loaded
         ]
+        best_rank = min((item[:2] for item in ranked), default=None)
         best_candidate = min(
-            scored_candidates, key=lambda item: item[:3], default=None
+            (
+                (self._score(target, load), target)
+                for target, load in self._draw_sample(
+                    [item[2:] for item in ranked if item[:2] == best_rank]
+                )
+            ),
+            key=lambda item: item[0],
+            default=None,
         )
         if self.cold.is_demand_new(service, best_candidate is None):
             self._request_permits(service, best_candidate)
         if best_candidate is None:
             return None
-        *_, best = best_candidate
+        _, best = best_candidate
         self._groups.record_request(service, now_s)
         return Choice(
             target=best,
@@ -300,6 +312,22 @@
             oldest_report_age_s=self.loads.get_oldest_age_s(now_s),
         )
 
+    def _draw_sample(self, loaded: list[LoadedTarget]) -> list[LoadedTarget]:
+        """Return a random sample of targets to choose the least loaded from.
+
+        Other instances choose in the same moment by the same reports. If each
+        chose among all targets, the least loaded one would get a request from
+        every one of them. Cold targets with a permit are always in it, since
+        their permits expire.
+        """
+        is_small = len(loaded) <= const.CHOICE_SAMPLE_SIZE
+        if is_small or not self.loads.is_shared:
+            return loaded
+        sample = self._rng.sample(loaded, const.CHOICE_SAMPLE_SIZE)
+        if self.cold.runs:
+            sample += [item for item in loaded if self.cold.is_cold(item[0])]
+        return sample
+
     def _list_candidates(
         self,
         service: str,
@@ -331,7 +359,7 @@
     def _request_permits(
         self,
         service: str,
-        best_candidate: tuple[bool, bool, Score, targets.Target] | None,
+        best_candidate: tuple[Score, targets.Target] | None,
     ) -> None:
         """Ask for permits if a cold target would be the best choice."""
         scored_targets = [
@@ -341,7 +369,7 @@
         ]
         if best_candidate is not None:
             scored_targets = [
-                item for item in scored_targets if item[0] < best_candidate[2]
+                item for item in scored_targets if item[0] < best_candidate[0]
             ]
         scored_targets.sort(key=lambda item: item[0])
         self.cold.record_demand(
--- a/packages/bambooring/src/bambooring/loads/peers.py
+++ b/packages/bambooring/src/bambooring/loads/peers.py
@@ -104,6 +104,11 @@
         for service_load in report.service_loads.values():
             self._add_waiting(service_load, -1)
 
+    @property
+    def has_reports(self) -> bool:
+        """Return whether any other instance's report is kept."""
+        return bool(self._reports)
+
     def drop_reports(self, senders: collections.abc.Iterable[str]) -> None:
         """Drop the reports of some instances."""
         for sender in senders:
--- a/packages/bambooring/src/bambooring/loads/state.py
+++ b/packages/bambooring/src/bambooring/loads/state.py
@@ -73,6 +73,11 @@
         remote = self._remote.get_load(summaries.compute_target_key(target_id))
         return running if remote is None else running + remote.running
 
+    @property
+    def is_shared(self) -> bool:
+        """Return whether other instances have reported lately."""
+        return self._peers.has_reports or self._remote.has_domains
+
     def get_relay(self, failure_domain: str, now_s: float) -> str:
         """Return the address of a domain's relay, '' if it is not known."""
         return self._remote.get_relay(failure_domain, now_s)
--- a/packages/bambooring/src/bambooring/loads/summaries.py
+++ b/packages/bambooring/src/bambooring/loads/summaries.py
@@ -199,6 +199,11 @@
                     self._set_load(domain, key, (0, 0))
                 del self._domains[name]
 
+    @property
+    def has_domains(self) -> bool:
+        """Return whether any other failure domain's load is known."""
+        return bool(self._domains)
+
     def get_load(self, key: int) -> peers.RunningLoad | None:
         """Return what the other domains have running at a target."""
         return self._totals.get(key)
