--- a/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/fleet.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 import types
+import typing
 
 from bambooring.balancing import const as balancing_const
 from bambooring.balancing import state as balancing
@@ -24,7 +25,6 @@
 from bambooring.policy import urgency
 from bambooring.routing import budget
 from bambooring.targets import messages as targets
-from bambooring_core import reactor as reactor_module
 
 SERVICE = 'llm'
 OBJECTIVE_S = 0.407
@@ -58,10 +58,10 @@
     )
 
 
-class Clock(reactor_module.Reactor):
+class Clock:
     """Time and timers in the place of a reactor."""
 
-    def __init__(self):  # The parent would open a selector.
+    def __init__(self):
         self.now_s = 0.0
         self._timers = []
         self._numbers = itertools.count()
@@ -294,7 +294,7 @@
         seed=1,
     ):
         self.rng = random.Random(seed)
-        self.clock = Clock()
+        self.clock: typing.Any = Clock()
         self._domain_count = domain_count
         self.duration_s = duration_s
         self.gap_s = gap_s
