Open the circle of imports in forwarding

Cause: attempts, their streams, the dispatcher, the forwarder's protocol and pending requests imported one another under TYPE_CHECKING.

Change: forwarding/protocols.py describes what attempts, the dispatcher and the order of service use of the others; the forwarder's own protocols stay in forwarder.py, since they name attempts. Nothing else changes.

--- a/packages/bambooring/src/bambooring/forwarding/attempt.py
+++ b/packages/bambooring/src/bambooring/forwarding/attempt.py
@@ -6,6 +6,7 @@
 from bambooring.forwarding import access_log
 from bambooring.forwarding import const
 from bambooring.forwarding import messages
+from bambooring.forwarding import protocols
 from bambooring.forwarding import second_answers
 from bambooring.forwarding import suspicions
 from bambooring_core.http1 import client
@@ -13,9 +14,6 @@
 from bambooring_core.http1 import messages as http1
 from bambooring_core import reactor as reactor_module
 
-if typing.TYPE_CHECKING:
-    from bambooring.forwarding import attempt_stream
-
 
 class AttemptListener(typing.Protocol):
     """Receive the progress and the result of an attempt.
@@ -98,7 +96,7 @@
             request.attempt_id, listener.read_response_head
         )
         # What passes the response on, if it is a stream of events.
-        self.stream: attempt_stream.AttemptStream | None = None
+        self.stream: protocols.EventStream | None = None
         # The tokens of the prompt until the target has read them.
         self.unread_tokens = request.prompt_tokens
         self.is_over = False
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -6,7 +6,6 @@
 
 import collections.abc
 import random
-import typing
 
 import structlog
 
@@ -17,13 +16,11 @@
 from bambooring.forwarding import decisions
 from bambooring.forwarding import messages
 from bambooring.forwarding import ordering
+from bambooring.forwarding import protocols
 from bambooring.forwarding import service_order
 from bambooring.routing import budget as budget_module
 from bambooring_core import reactor as reactor_module
 
-if typing.TYPE_CHECKING:
-    from bambooring.forwarding import pending_request
-
 LOG = structlog.get_logger(__name__)
 
 
@@ -48,7 +45,7 @@
         self._rng = rng
         self._report_load = report_load
         self.order = service_order.ServiceOrder(balancer, report_load, rng)
-        self._queues: dict[str, list[pending_request.PendingRequest]] = {}
+        self._queues: dict[str, list[protocols.QueuedRequest]] = {}
         self._poll_timer: reactor_module.Timer | None = None
         self._planned_stop: messages.PlannedStop | None = None
 
@@ -66,9 +63,7 @@
             if any(pending.standing is not None for pending in queue)
         }
 
-    def dispatch_or_queue(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> None:
+    def dispatch_or_queue(self, pending: protocols.QueuedRequest) -> None:
         """Send a request to a target, or queue it until a slot is free.
 
         If the wait would be too long, the request is given up.
@@ -130,9 +125,7 @@
             ),
         )
 
-    def _may_refuse_by_order(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> bool:
+    def _may_refuse_by_order(self, pending: protocols.QueuedRequest) -> bool:
         """Return whether the order of service decides if a request waits."""
         return (
             pending.progress.may_be_refused
@@ -141,7 +134,7 @@
 
     def _queue_by_order(
         self,
-        pending: 'pending_request.PendingRequest',
+        pending: protocols.QueuedRequest,
         standing: ordering.Standing,
         ahead: int,
     ) -> None:
@@ -165,9 +158,7 @@
             ),
         )
 
-    def _give_up_hopeless(
-        self, queue: list['pending_request.PendingRequest']
-    ) -> None:
+    def _give_up_hopeless(self, queue: list[protocols.QueuedRequest]) -> None:
         """Give up the last ones of a queue if their wait has become too long.
 
         The queue is in order. So the least urgent ones make room for a more
@@ -192,7 +183,7 @@
             pending.give_up(self._get_reject_reason(pending, now_s))
 
     def _holds_up_others(
-        self, queued: 'pending_request.PendingRequest', now_s: float
+        self, queued: protocols.QueuedRequest, now_s: float
     ) -> bool:
         """Return whether requests behind a queued one wait for it.
 
@@ -203,14 +194,14 @@
         return not queued.tried_targets or self.may_dispatch(queued)
 
     def _append_to_queue(
-        self, pending: 'pending_request.PendingRequest', deadline_s: float
+        self, pending: protocols.QueuedRequest, deadline_s: float
     ) -> None:
         pending.queue_deadline_s = deadline_s
         self._queues[pending.service].append(pending)
         self._report_load()
         self._schedule_poll()
 
-    def _may_start(self, pending: 'pending_request.PendingRequest') -> bool:
+    def _may_start(self, pending: protocols.QueuedRequest) -> bool:
         """Return whether a planned stop leaves time to start a request.
 
         One that may have run goes on: its caller can't be told to retry.
@@ -228,15 +219,13 @@
         )
 
     def _get_rest_wait_s(
-        self, pending: 'pending_request.PendingRequest'
+        self, pending: protocols.QueuedRequest
     ) -> float | None:
         return self._balancer.get_rest_wait_s(
             pending.service, self._reactor.now(), pending.tried_targets
         )
 
-    def refuse_for_rests(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> bool:
+    def refuse_for_rests(self, pending: protocols.QueuedRequest) -> bool:
         """Refuse a request if all targets rest for longer than it waits.
 
         :param pending: the request, which isn't queued
@@ -256,7 +245,7 @@
         return True
 
     def _wait_for_rests(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> bool:
         """Queue a request that can't be refused until a target is back.
 
@@ -275,9 +264,7 @@
             self._append_to_queue(pending, latest_start_s)
         return True
 
-    def _get_latest_start_s(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> float:
+    def _get_latest_start_s(self, pending: protocols.QueuedRequest) -> float:
         """Return until when a request waits that can't be refused.
 
         The caller of a stream that has begun counts from its last event.
@@ -291,7 +278,7 @@
         )
 
     def _get_reject_reason(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> const.Reason:
         service = pending.service
         if self._get_rest_wait_s(pending) is not None:
@@ -308,7 +295,7 @@
         self,
         service: str,
         queued_ahead: int,
-        pending: 'pending_request.PendingRequest',
+        pending: protocols.QueuedRequest,
     ) -> decisions.WaitEstimate:
         now_s = self._reactor.now()
         return decisions.estimate_wait(
@@ -320,7 +307,7 @@
         )
 
     def _try_dispatch(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> bool:
         if not self._may_take_slot(pending, now_s):
             return False
@@ -331,7 +318,7 @@
         return True
 
     def _may_take_slot(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> bool:
         return self.order.may_take_slot(
             pending, self._queues[pending.service], now_s
@@ -339,7 +326,7 @@
 
     def _send(
         self,
-        pending: 'pending_request.PendingRequest',
+        pending: protocols.QueuedRequest,
         choice: balancing.Choice,
         now_s: float,
     ) -> None:
@@ -347,7 +334,7 @@
         pending.send_to_target(choice)
 
     def _choose(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> balancing.Choice | None:
         """Choose a target; one that rested is probed by new requests.
 
@@ -370,7 +357,7 @@
             else 0,
         )
 
-    def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
+    def may_dispatch(self, pending: protocols.QueuedRequest) -> bool:
         """Return whether a target could take a request now."""
         if self._balancer.is_group_broken(pending.service):
             return False
@@ -400,7 +387,7 @@
                 pass
 
     def _give_up_overdue(
-        self, queue: list['pending_request.PendingRequest'], now_s: float
+        self, queue: list[protocols.QueuedRequest], now_s: float
     ) -> None:
         """Give up requests that have waited as long as their callers do.
 
@@ -413,7 +400,7 @@
                 pending.give_up(reason)
 
     def _get_give_up_reason(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> const.Reason | None:
         """Return why a queued request is given up now, None if it isn't."""
         if not self._may_start(pending):
@@ -426,7 +413,7 @@
         return None
 
     def _dispatch_first(
-        self, queue: list['pending_request.PendingRequest'], now_s: float
+        self, queue: list[protocols.QueuedRequest], now_s: float
     ) -> bool:
         """Send the first queued request that a target may take.
 
@@ -445,9 +432,7 @@
                 return False
         return False
 
-    def remove_from_queue(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> None:
+    def remove_from_queue(self, pending: protocols.QueuedRequest) -> None:
         """Remove a request from its queue, if it is queued."""
         queue = self._queues.get(pending.service, [])
         if pending in queue:
@@ -461,9 +446,7 @@
         self._planned_stop = planned_stop
         self.dispatch_queued()
 
-    def get_retry_after_s(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> float:
+    def get_retry_after_s(self, pending: protocols.QueuedRequest) -> float:
         """Return after how many seconds a rejected caller should retry.
 
         The time is randomized, so that callers rejected at the same moment
--- a/packages/bambooring/src/bambooring/forwarding/forwarder.py
+++ b/packages/bambooring/src/bambooring/forwarding/forwarder.py
@@ -9,12 +9,36 @@
 from bambooring.forwarding import events
 from bambooring.forwarding import fairness as fairness_module
 from bambooring.forwarding import messages
+from bambooring.forwarding import ordering
 from bambooring.forwarding import stalls
 from bambooring_core.http1 import messages as http1
 from bambooring_core import reactor as reactor_module
 
-if typing.TYPE_CHECKING:
-    from bambooring.forwarding import pending_request
+
+class PendingRequest(attempt_module.AttemptListener, typing.Protocol):
+    """What the forwarder uses of a request without a final response."""
+
+    request: messages.CallerRequest
+    standing: ordering.Standing | None
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the request is answered by a stream of events."""
+
+    @property
+    def silence_timeout_s(self) -> float | None:
+        """Return how long an attempt may be silent before it is repeated."""
+
+    def make_attempt_metadata(
+        self, target_id: str
+    ) -> messages.AttemptMetadata:
+        """Return what an attempt tells its target besides the request."""
+
+    def recheck_suspicion(self) -> None:
+        """End the request if it has become suspect and isn't answered yet."""
+
+    def stop(self) -> None:
+        """End the request because the process stops."""
 
 
 class Forwarder(typing.Protocol):
@@ -30,7 +54,7 @@
 
     def start_attempt(
         self,
-        pending: 'pending_request.PendingRequest',
+        pending: PendingRequest,
         choice: balancing.Choice,
     ) -> attempt_module.Attempt:
         """Send a request to a target."""
@@ -59,7 +83,5 @@
     def record_prompt_read(self, attempt: attempt_module.Attempt) -> None:
         """Record that a target has read an attempt's prompt."""
 
-    def remove_request(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> None:
+    def remove_request(self, pending: PendingRequest) -> None:
         """Forget a request that has ended."""
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -16,6 +16,7 @@
 from bambooring.forwarding import forwarder as forwarder_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import ordering
+from bambooring.forwarding import protocols
 from bambooring.forwarding import rejections
 from bambooring.forwarding import suspicions
 from bambooring import metrics
@@ -253,7 +254,7 @@
     def _forward_events(
         self,
         attempt: attempt_module.Attempt,
-        stream: attempt_stream.AttemptStream,
+        stream: protocols.EventStream,
         data: bytes,
     ) -> None:
         try:
--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -7,42 +7,21 @@
 import collections.abc
 import dataclasses
 import random
-import typing
 
 import structlog
 
 from bambooring.balancing import state as balancing
 from bambooring.forwarding import admission
 from bambooring.forwarding import const
-from bambooring.forwarding import decisions
 from bambooring.forwarding import fairness
-from bambooring.forwarding import messages
 from bambooring.forwarding import ordering
+from bambooring.forwarding import protocols
 from bambooring import metrics
 from bambooring.policy import urgency
 
 LOG = structlog.get_logger(__name__)
 
 
-class OrderedRequest(typing.Protocol):
-    """What the order of service needs to know of a pending request."""
-
-    service: str
-    request: messages.CallerRequest
-    standing: ordering.Standing | None
-    progress: decisions.Progress
-    first_received_s: float
-    admitted_s: float
-    deadline_s: float
-
-    @property
-    def objective_s(self) -> float:
-        """Return the time to the first byte that the caller expects."""
-
-    def get_time_left_s(self) -> float:
-        """Return the time until the request's deadline, in seconds."""
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _HeldSlots:
     """Free slots that are left to other instances since ``since_s``."""
@@ -99,7 +78,7 @@
     def compute_key(
         self,
         standing: ordering.Standing,
-        request: OrderedRequest,
+        request: protocols.OrderedRequest,
         now_s: float,
     ) -> ordering.OrderedKey:
         """Return the sort key of a request in its queue."""
@@ -136,7 +115,9 @@
             if key
         )
 
-    def record_refusal(self, request: OrderedRequest, now_s: float) -> None:
+    def record_refusal(
+        self, request: protocols.OrderedRequest, now_s: float
+    ) -> None:
         """Count a request that ends; one that had a slot is counted then."""
         standing = request.standing
         if standing is None or request.progress.attempt_count:
@@ -144,7 +125,9 @@
         metrics.UNSERVED.labels(urgency=standing.urgency).inc()
         self._record_share(standing, request.service, False, now_s)
 
-    def record_dispatch(self, request: OrderedRequest, now_s: float) -> None:
+    def record_dispatch(
+        self, request: protocols.OrderedRequest, now_s: float
+    ) -> None:
         """Count a request that is about to be sent to a target.
 
         It counts as served from now on: if that was known only seconds later,
@@ -183,7 +166,7 @@
             filter(None, keys), is_served=is_served, now_s=now_s
         )
 
-    def get_exchange_urgency(self, request: OrderedRequest) -> int:
+    def get_exchange_urgency(self, request: protocols.OrderedRequest) -> int:
         """Return the urgency that other instances leave slots for.
 
         Without this a class that is starved would stay so while any more
@@ -197,7 +180,7 @@
         return standing.urgency
 
     def count_by_urgency(
-        self, requests: collections.abc.Iterable[OrderedRequest]
+        self, requests: collections.abc.Iterable[protocols.OrderedRequest]
     ) -> list[int]:
         """Return how many waiting requests there are of each urgency."""
         counts = [0] * urgency.CLASS_COUNT
@@ -207,8 +190,8 @@
 
     def may_take_slot(
         self,
-        request: OrderedRequest,
-        queue: collections.abc.Collection[OrderedRequest],
+        request: protocols.OrderedRequest,
+        queue: collections.abc.Collection[protocols.OrderedRequest],
         now_s: float,
     ) -> bool:
         """Return whether a request may have a free slot, if there is one.
@@ -327,7 +310,7 @@
         )
 
     def _may_take_slot_after_outage(
-        self, request: OrderedRequest, now_s: float
+        self, request: protocols.OrderedRequest, now_s: float
     ) -> bool:
         """Return whether a request leaves enough room after an outage.
 
@@ -355,7 +338,7 @@
 
     def decide(
         self,
-        request: OrderedRequest,
+        request: protocols.OrderedRequest,
         standing: ordering.Standing,
         *,
         ahead: int,
@@ -420,7 +403,7 @@
 
     def compute_retry_after_s(
         self,
-        request: OrderedRequest,
+        request: protocols.OrderedRequest,
         standing: ordering.Standing,
         *,
         waiting: int,
@@ -454,7 +437,7 @@
         )
 
 
-def is_late(request: OrderedRequest, now_s: float) -> bool:
+def is_late(request: protocols.OrderedRequest, now_s: float) -> bool:
     """Return whether a request's first byte can't be in time any more."""
     return (
         now_s - request.first_received_s
--- a/packages/bambooring/src/bambooring/forwarding/task.py
+++ b/packages/bambooring/src/bambooring/forwarding/task.py
@@ -16,6 +16,7 @@
 from bambooring.forwarding import errors
 from bambooring.forwarding import events
 from bambooring.forwarding import fairness as fairness_module
+from bambooring.forwarding import forwarder as forwarder_module
 from bambooring.forwarding import messages
 from bambooring.forwarding import pending_request
 from bambooring.forwarding import rejections
@@ -82,7 +83,7 @@
         self._schedule_load_report = schedule_load_report
         self._make_call = make_call
         self._arrivals = arrivals.ArrivalTracker()
-        self._pending_requests: set[pending_request.PendingRequest] = set()
+        self._pending_requests: set[forwarder_module.PendingRequest] = set()
 
     @property
     def pending_count(self) -> int:
@@ -164,7 +165,9 @@
         )
 
     def start_attempt(
-        self, pending: pending_request.PendingRequest, choice: balancing.Choice
+        self,
+        pending: forwarder_module.PendingRequest,
+        choice: balancing.Choice,
     ) -> attempt_module.Attempt:
         """Send a request to a target."""
         attempt = attempt_module.Attempt(
@@ -277,6 +280,6 @@
         for pending in list(self._pending_requests):
             pending.stop()
 
-    def remove_request(self, pending: pending_request.PendingRequest) -> None:
+    def remove_request(self, pending: forwarder_module.PendingRequest) -> None:
         """Forget a request that has ended."""
         self._pending_requests.discard(pending)
