--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -15,10 +15,10 @@
 from bambooring.forwarding import errors
 from bambooring.forwarding import forwarder as forwarder_module
 from bambooring.forwarding import messages
-from bambooring.forwarding import ordering
 from bambooring.forwarding import protocols
 from bambooring.forwarding import rejections
 from bambooring.forwarding import suspicions
+from bambooring.forwarding import waiting_request
 from bambooring import metrics
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server
@@ -26,7 +26,7 @@
 LOG = structlog.get_logger(__name__)
 
 
-class PendingRequest:
+class PendingRequest(waiting_request.WaitingRequest):
     """A caller's request until it has its final response.
 
     The forwarder creates one for each admitted request. It listens to the
@@ -47,42 +47,16 @@
         urgency: int | None,
         traits: arrivals.Traits,
     ) -> None:
-        self._forwarder = forwarder
-        self._exchange = exchange
-        self.request = request
-        self.route = admission.route
-        self.account = admission.account
-        self.service = service
-        # The keys under which the result is counted.
-        self._fairness_keys = [
-            f'account {self.account.name if self.account else ""}',
-            f'route {self.route.name}',
-        ]
-        self.progress = decisions.Progress()
-        self.suspicion = suspicions.RequestSuspicion(
-            forwarder.crash_guard,
-            request,
-            self.account.name if self.account else '',
-        )
-        self.tried_targets: set[str] = set()
-        self.received_s = exchange.request.received_s
-        self.admitted_s = forwarder.reactor.now()
-        self.deadline_s = self.received_s + decisions.get_total_timeout_s(
-            request, self.route
+        super().__init__(
+            forwarder=forwarder,
+            request=request,
+            received_s=exchange.request.received_s,
+            admission=admission,
+            service=service,
+            urgency=urgency,
+            traits=traits,
         )
-        self.queue_deadline_s = self.deadline_s
-        self.first_received_s = self.received_s - traits.elapsed_s
-        self.standing: ordering.Standing | None = None
-        if urgency is not None:
-            self.standing = ordering.make_standing(
-                urgency=urgency,
-                request=request,
-                route=self.route,
-                account=self.account,
-                traits=traits,
-                first_received_s=self.first_received_s,
-                deadline_s=self.deadline_s,
-            )
+        self._exchange = exchange
         self._policy_version = policy_version
         self._lease_age_s = lease_age_s
         self._caller = caller_response.CallerResponse(
@@ -104,54 +78,6 @@
         exchange.on_disconnect = self._handle_caller_gone
         exchange.on_drained = self._resume_reading
 
-    def get_queue_key(self, now_s: float) -> tuple[float, ...]:
-        """Return the sort key in the queue; the lowest is served first.
-
-        :param now_s: the current time in seconds
-        """
-        if self.standing is not None:
-            return self._forwarder.dispatcher.order.compute_key(
-                self.standing, self, now_s
-            )
-        return decisions.compute_queue_key(
-            self.route,
-            self.account,
-            received_s=self.received_s,
-            is_response_started=self.progress.is_response_started,
-            now_s=now_s,
-            is_underserved=self._forwarder.fairness.is_underserved(
-                self._fairness_keys
-            ),
-        )
-
-    @property
-    def objective_s(self) -> float:
-        """Return the time to the first byte that the caller expects."""
-        return self.route.first_byte_objective_s
-
-    @property
-    def max_wait_s(self) -> float:
-        """Return the longest time from its receipt to its dispatch.
-
-        For a stream it is a share of the time after which its caller gives up
-        a stream that sends nothing.
-        """
-        if self.route.kind != 'stream':
-            return self.deadline_s - self.received_s
-        idle_s = decisions.get_stream_idle_s(self.route)
-        return idle_s * const.STREAM_WAIT_SHARE
-
-    @property
-    def should_retry_later(self) -> bool:
-        """Return whether the caller should retry later rather than wait."""
-        return decisions.should_retry_later(
-            self.route, self.progress, self.get_time_left_s()
-        )
-
-    def get_time_left_s(self) -> float:
-        """Return the time until the request's deadline, in seconds."""
-        return self.deadline_s - self._forwarder.reactor.now()
-
     def send_to_target(self, choice: balancing.Choice) -> None:
         """Start an attempt at a target that the balancer has chosen."""
         self.progress.attempt_count += 1
@@ -161,24 +87,6 @@
         self._attempt.probe = probe
         self._attempt_records.append(self._attempt.record)
 
-    @property
-    def silence_timeout_s(self) -> float | None:
-        """Return how long an attempt may be silent before it is repeated.
-
-        None if it isn't repeated for that reason.
-        """
-        if self.is_stream or not self.route.is_retryable:
-            return None
-        return (
-            self.route.first_byte_objective_s
-            * const.SILENCE_TIMEOUT_OBJECTIVES
-        )
-
-    @property
-    def is_stream(self) -> bool:
-        """Return whether the request is answered by a stream of events."""
-        return self.route.kind == 'stream'
-
     def make_attempt_metadata(
         self, target_id: str
     ) -> messages.AttemptMetadata:
