--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -10,8 +10,8 @@
 DEFAULT_SLOTS_PER_TARGET: typing.Final = 4
 
 # How many random targets the least loaded one is chosen from. With fewer,
-# loads differ by chance; with many more, instances that choose within the delay
-# of the load reports choose the same target.
+# loads differ by chance; with many more, instances that choose within the
+# delay of the load reports choose the same target.
 CHOICE_SAMPLE_SIZE: typing.Final = 6
 
 # A failed target is ejected for the minimum time. Each further failure
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -6,7 +6,6 @@
 
 import collections.abc
 import random
-import typing
 
 import structlog
 
@@ -17,15 +16,13 @@
 from bambooring.forwarding import decisions
 from bambooring.forwarding import messages
 from bambooring.forwarding import ordering
+from bambooring.forwarding import protocols
 from bambooring.forwarding import regions
 from bambooring.forwarding import service_order
 from bambooring.forwarding import slot_shares
 from bambooring.routing import budget as budget_module
 from bambooring_core import reactor as reactor_module
 
-if typing.TYPE_CHECKING:
-    from bambooring.forwarding import pending_request
-
 LOG = structlog.get_logger(__name__)
 
 
@@ -51,7 +48,7 @@
         self._report_load = report_load
         self.order = service_order.ServiceOrder(balancer, report_load, rng)
         self.slot_shares = slot_shares.SlotShares(balancer, rng)
-        self._queues: dict[str, list[pending_request.PendingRequest]] = {}
+        self._queues: dict[str, list[protocols.QueuedRequest]] = {}
         self._poll_timer: reactor_module.Timer | None = None
         self._planned_stop: messages.PlannedStop | None = None
 
@@ -69,9 +66,7 @@
             if any(pending.standing is not None for pending in queue)
         }
 
-    def dispatch_or_queue(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> None:
+    def dispatch_or_queue(self, pending: protocols.QueuedRequest) -> None:
         """Send a request to a target, or queue it until a slot is free.
 
         If the wait would be too long, the request is given up.
@@ -139,9 +134,7 @@
             ),
         )
 
-    def _may_refuse_by_order(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> bool:
+    def _may_refuse_by_order(self, pending: protocols.QueuedRequest) -> bool:
         """Return whether the order of service decides if a request waits."""
         return (
             pending.progress.may_be_refused
@@ -150,7 +143,7 @@
 
     def _queue_by_order(
         self,
-        pending: 'pending_request.PendingRequest',
+        pending: protocols.QueuedRequest,
         standing: ordering.Standing,
         ahead: int,
     ) -> None:
@@ -174,9 +167,7 @@
             ),
         )
 
-    def _give_up_hopeless(
-        self, queue: list['pending_request.PendingRequest']
-    ) -> None:
+    def _give_up_hopeless(self, queue: list[protocols.QueuedRequest]) -> None:
         """Give up the last ones of a queue if their wait has become too long.
 
         The queue is in order. So the least urgent ones make room for a more
@@ -201,7 +192,7 @@
             pending.give_up(self._get_reject_reason(pending, now_s))
 
     def _is_held_up(
-        self, ahead: list['pending_request.PendingRequest'], now_s: float
+        self, ahead: list[protocols.QueuedRequest], now_s: float
     ) -> bool:
         """Return whether a request waits for others that are queued.
 
@@ -222,13 +213,13 @@
                 return True
         return False
 
-    def _is_evacuated(self, pending: 'pending_request.PendingRequest') -> bool:
+    def _is_evacuated(self, pending: protocols.QueuedRequest) -> bool:
         return self._balancer.is_evacuated(
             pending.service, pending.allowed_domains
         )
 
     def _get_capacity(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> balancing.ServiceCapacity:
         """Return the capacity of the targets that may serve a request."""
         return self._balancer.get_capacity(
@@ -236,14 +227,14 @@
         )
 
     def _append_to_queue(
-        self, pending: 'pending_request.PendingRequest', deadline_s: float
+        self, pending: protocols.QueuedRequest, deadline_s: float
     ) -> None:
         pending.queue_deadline_s = deadline_s
         self._queues[pending.service].append(pending)
         self._report_load()
         self._schedule_poll()
 
-    def _may_start(self, pending: 'pending_request.PendingRequest') -> bool:
+    def _may_start(self, pending: protocols.QueuedRequest) -> bool:
         """Return whether a planned stop leaves time to start a request.
 
         One that may have run goes on: its caller can't be told to retry.
@@ -261,7 +252,7 @@
         )
 
     def _get_rest_wait_s(
-        self, pending: 'pending_request.PendingRequest'
+        self, pending: protocols.QueuedRequest
     ) -> float | None:
         return self._balancer.get_rest_wait_s(
             pending.service,
@@ -270,9 +261,7 @@
             pending.allowed_domains,
         )
 
-    def refuse_for_rests(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> bool:
+    def refuse_for_rests(self, pending: protocols.QueuedRequest) -> bool:
         """Refuse a request if all targets rest for longer than it waits.
 
         :param pending: the request, which isn't queued
@@ -292,7 +281,7 @@
         return True
 
     def _wait_for_rests(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> bool:
         """Queue a request that can't be refused until a target is back.
 
@@ -311,9 +300,7 @@
             self._append_to_queue(pending, latest_start_s)
         return True
 
-    def _get_latest_start_s(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> float:
+    def _get_latest_start_s(self, pending: protocols.QueuedRequest) -> float:
         """Return until when a request waits that can't be refused.
 
         The caller of a stream that has begun counts from its last event.
@@ -327,7 +314,7 @@
         )
 
     def _get_reject_reason(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> const.Reason:
         service = pending.service
         if self._get_rest_wait_s(pending) is not None:
@@ -344,7 +331,7 @@
         self,
         service: str,
         queued_ahead: int,
-        pending: 'pending_request.PendingRequest',
+        pending: protocols.QueuedRequest,
     ) -> decisions.WaitEstimate:
         now_s = self._reactor.now()
         return decisions.estimate_wait(
@@ -356,7 +343,7 @@
         )
 
     def _try_dispatch(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> bool:
         if not self._may_take_slot(pending, now_s):
             return False
@@ -367,7 +354,7 @@
         return True
 
     def _may_take_slot(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> bool:
         return self.order.may_take_slot(
             pending, self._queues[pending.service], now_s
@@ -375,7 +362,7 @@
 
     def _send(
         self,
-        pending: 'pending_request.PendingRequest',
+        pending: protocols.QueuedRequest,
         choice: balancing.Choice,
         now_s: float,
     ) -> None:
@@ -383,7 +370,7 @@
         pending.send_to_target(choice)
 
     def _choose(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> balancing.Choice | None:
         """Choose a target; one that rested is probed by new requests.
 
@@ -410,18 +397,16 @@
         )
 
     def _list_full_targets(
-        self, pending: 'pending_request.PendingRequest'
+        self, pending: protocols.QueuedRequest
     ) -> frozenset[str]:
         """Return the targets that have too many bytes for one more body."""
         return self._balancer.bodies.list_full(len(pending.request.body))
 
-    def _may_use_any_target(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> bool:
+    def _may_use_any_target(self, pending: protocols.QueuedRequest) -> bool:
         """Return whether no target in its failure domains is excluded."""
         return not (pending.tried_targets or self._list_full_targets(pending))
 
-    def may_dispatch(self, pending: 'pending_request.PendingRequest') -> bool:
+    def may_dispatch(self, pending: protocols.QueuedRequest) -> bool:
         """Return whether a target could take a request now."""
         if self._balancer.is_group_broken(pending.service):
             return False
@@ -456,7 +441,7 @@
                 allowed -= 1
 
     def _may_send_first(
-        self, queue: list['pending_request.PendingRequest'], allowed: int
+        self, queue: list[protocols.QueuedRequest], allowed: int
     ) -> bool:
         """Return whether the share of free slots allows another request.
 
@@ -471,7 +456,7 @@
         )
 
     def _give_up_overdue(
-        self, queue: list['pending_request.PendingRequest'], now_s: float
+        self, queue: list[protocols.QueuedRequest], now_s: float
     ) -> None:
         """Give up requests that have waited as long as their callers do.
 
@@ -484,7 +469,7 @@
                 pending.give_up(reason)
 
     def _get_give_up_reason(
-        self, pending: 'pending_request.PendingRequest', now_s: float
+        self, pending: protocols.QueuedRequest, now_s: float
     ) -> const.Reason | None:
         """Return why a queued request is given up now, None if it isn't."""
         if not self._may_start(pending):
@@ -499,7 +484,7 @@
         return None
 
     def _dispatch_first(
-        self, queue: list['pending_request.PendingRequest'], now_s: float
+        self, queue: list[protocols.QueuedRequest], now_s: float
     ) -> bool:
         """Send the first queued request that a target may take.
 
@@ -525,9 +510,7 @@
                 full_domains.add(pending.allowed_domains)
         return False
 
-    def remove_from_queue(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> None:
+    def remove_from_queue(self, pending: protocols.QueuedRequest) -> None:
         """Remove a request from its queue, if it is queued."""
         queue = self._queues.get(pending.service, [])
         if pending in queue:
@@ -541,9 +524,7 @@
         self._planned_stop = planned_stop
         self.dispatch_queued()
 
-    def get_retry_after_s(
-        self, pending: 'pending_request.PendingRequest'
-    ) -> float:
+    def get_retry_after_s(self, pending: protocols.QueuedRequest) -> float:
         """Return after how many seconds a rejected caller should retry.
 
         The time is randomized, so that callers rejected at the same moment
