--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -62,3 +62,7 @@
 # A control replica gives those of an entry instance's own failure domain this
 # long to send it a new policy before it sends one itself.
 POLICY_BACKUP_DELAY_S: typing.Final = 0.3
+
+# All entry instances and agents link to each control replica: 144 links at the
+# first deployment, beside 1,535 descriptors.
+LINKS_DESCRIPTORS_SHARE: typing.Final = 0.5
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -143,7 +143,7 @@
             count_refused=self._count_refused,
             budget=memory.make_budget(self._settings.memory_bytes),
             max_descriptors=memory.get_callers_descriptors(
-                self._settings.max_descriptors
+                self._settings.max_descriptors, const.LINKS_DESCRIPTORS_SHARE
             ),
         )
         with self._hub, self._server:
--- a/packages/core/src/bambooring_core/http1/memory.py
+++ b/packages/core/src/bambooring_core/http1/memory.py
@@ -108,17 +108,21 @@
     return MemoryBudget(max(_MIN_TOTAL_BYTES, int(free_bytes * _BUDGET_SHARE)))
 
 
-def get_callers_descriptors(max_descriptors: int) -> int:
+def get_callers_descriptors(
+    max_descriptors: int, links_share: float = 0.0
+) -> int:
     """Return how many descriptors a process uses for callers.
 
     These are the callers' connections and the calls to targets that are made
     for them.
 
     :param max_descriptors: the limit of the process; 0 for none
+    :param links_share: the share of them that is for links, besides those
+        that every process reserves
     """
     if not max_descriptors:
         return 0
     return max(
-        max_descriptors - const.RESERVED_DESCRIPTORS,
+        int(max_descriptors * (1 - links_share)) - const.RESERVED_DESCRIPTORS,
         int(max_descriptors * const.MIN_CALLERS_SHARE),
     )
--- a/packages/core/src/bambooring_core/http1/tests/test_memory.py
+++ b/packages/core/src/bambooring_core/http1/tests/test_memory.py
@@ -39,6 +39,7 @@
     """Files and links need descriptors besides callers."""
     assert memory.get_callers_descriptors(0) == 0
     assert memory.get_callers_descriptors(1535) == 1535 - 328
+    assert memory.get_callers_descriptors(1535, links_share=0.5) == 767 - 328
     assert memory.get_callers_descriptors(200) == 50
 
 
