--- a/packages/core/src/bambooring_core/http1/connection.py
+++ b/packages/core/src/bambooring_core/http1/connection.py
@@ -51,6 +51,7 @@
         self._body_held = memory.Reservation(server.budget)
         self._other_held = memory.Reservation(server.budget)
         self._answer_bytes = 0
+        self._unparsed_bytes = 0
         self._has_declared_length = False
         # How long, and how many bytes, a refused caller may go on sending.
         self._linger_until_s = 0.0
@@ -114,7 +115,7 @@
             self._refuse(checks.make_refusal(error))
         except errors.RequestError as error:
             self._refuse(error)
-        self._account()
+        self._account_input()
         self._update_watch()
 
     def _discard(self, data: bytes) -> None:
@@ -212,6 +213,7 @@
     def _drop_input(self) -> None:
         """Free all input of a request that won't be handled."""
         self._body = bytearray()
+        self._unparsed_bytes = 0
         self._body_held.close()
         self._http = h11.Connection(h11.SERVER)
 
@@ -225,15 +227,23 @@
         That is output, and input that isn't parsed: behind a running request,
         or a part of a head.
         """
-        if not self.is_open:
+        if not self.is_open or not self._server.budget.is_limited:
             return
         size = len(self._out_buffer) + self._answer_bytes
-        if not self._body:
-            size += len(self._http.trailing_data[0])
+        size += self._unparsed_bytes
         if size != self._other_held.size:
             self._other_held.resize(size)
             self._server.schedule_relief()
 
+    def _account_input(self) -> None:
+        """Account for input once it has been read or parsed."""
+        if not self._server.budget.is_limited:
+            return
+        self._unparsed_bytes = 0
+        if not self._body:
+            self._unparsed_bytes = len(self._http.trailing_data[0])
+        self._account()
+
     def hold_answer(self, size: int) -> None:
         """Account for the bytes of an answer that are buffered elsewhere."""
         self._answer_bytes = size
@@ -392,6 +402,7 @@
             self._refuse(checks.make_refusal(error))
         except errors.RequestError as error:
             self._refuse(error)
+        self._account_input()
 
     def _send(self, event: typing.Any) -> None:
         if self.is_open:
