--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -66,3 +66,6 @@
 # How often an entry instance logs which targets became cold or warm, one line
 # each at most, and counts what became of the permits it asked for.
 PERMIT_LOG_INTERVAL_S: typing.Final = 0.25
+# All entry instances and agents link to each control replica: 144 links at the
+# first deployment, beside 1,535 descriptors.
+LINKS_DESCRIPTORS_SHARE: typing.Final = 0.5
