Evacuate failure domains in the soak

Cause: evacuations were checked only without the real processes. Change: a third operator evacuates one failure domain at a time, resends each order until it is acknowledged, and tries an unknown one. Checked: no request that its caller sends 5 s after the acknowledgement runs in that failure domain, nothing at all while no fault disturbs, and orders are acknowledged in 5 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 import click
 
 from soak import cluster as cluster_module
+from soak import evacuations
 from soak import faults as faults_module
 from soak import history as history_module
 from soak import operator as operator_module
@@ -58,6 +59,7 @@
             operator,
             second_operator,
             routes_module.RouteCaller(cluster, random.Random(seed + 3)),
+            evacuations.EvacuationOperator(cluster, random.Random(seed + 4)),
         ):
             cluster.wait_ready()
             cluster.start_callers()
@@ -68,6 +70,7 @@
         cluster.stop_callers()
         violations += list(cluster.history.check())
         violations += list(route_checks.check(cluster.history))
+        violations += list(evacuations.check(cluster.history))
         requests = cluster.history.list_requests()
         served = sum(request.status == 200 for request in requests)
     (folder / 'story').write_text('\n'.join(injector.fault_log) + '\n')
@@ -80,6 +83,10 @@
         'runs': len(cluster.history.executions),
         'versions': len(cluster.history.published_policies),
         'reads': len(cluster.history.policy_reads),
+        'evacuations': sum(
+            evacuation.confirmed_s is not None
+            for evacuation in cluster.history.evacuations
+        ),
         'broken': violations[:20],
     }
     click.echo(json.dumps(report))
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -219,6 +219,7 @@
             f'bounds.revokeMs={int(history_module.MAX_REVOCATION_S * 1000)}',
             'bounds.retryBudgetRatio=0.2',
             'bounds.retrySlack=200',
+            *(f'zones.{domain}=gujarat' for domain in FAILURE_DOMAINS),
         ]
         if is_control:
             lines.append(f'listen.links={listening_ip}:{FIRST_INTERNAL_PORT}')
--- a/soak/history.py
+++ b/soak/history.py
@@ -67,6 +67,7 @@
     has_authorization: bool
     started_s: float
     response_body: bytes = b''
+    failure_domain: str = ''
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -94,6 +95,20 @@
     replica_address: str
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Evacuation:
+    """An evacuation that an operator ordered.
+
+    ``confirmed_s`` is None until a control replica has acknowledged it.
+    ``withdrawn_s`` is when its withdrawal was first sent.
+    """
+
+    domain: str
+    sent_s: float
+    confirmed_s: float | None = None
+    withdrawn_s: float = float('inf')
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class PlannedStop:
     """A planned stop of a process.
@@ -120,6 +135,7 @@
         # When a control replica confirmed the drain, by target id.
         self.drain_confirmed_s: dict[str, float] = {}
         self.planned_stops: list[PlannedStop] = []
+        self.evacuations: list[Evacuation] = []
         # The start and the end of the effects of each fault.
         self.disturbed_periods: list[tuple[float, float]] = []
         # Unexpected exits and failed stops of processes, and failed calls of
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -169,6 +169,7 @@
             has_authorization='Authorization' in handler.headers,
             started_s=time.monotonic(),
             response_body=digest.hexdigest().encode() * 20,
+            failure_domain=self.failure_domain,
         )
         self._history.add_execution(execution)
         time.sleep(_PROCESSING_S)
