Don't carry out orders that their operators have given up

A control replica was frozen with a withdrawal in its socket. The operator resent it elsewhere, had it acknowledged, and evacuated the failure domain again. When the replica went on, it proposed the old withdrawal, which undid the acknowledged evacuation. Change: an order carries the revision that its replica knew when it read the call, and any later change supersedes it. Native replicas answer 503, and the command line resends. Ruled out: a time in the order; operators send none, and clocks differ.

--- a/packages/bambooring/src/bambooring/control.py
+++ b/packages/bambooring/src/bambooring/control.py
@@ -173,13 +173,19 @@
         return codec.unpack(data) if data else None
 
     def order_evacuation(
-        self, order: evacuation.Order
+        self, failure_domain: str, *, is_evacuated: bool
     ) -> evacuation.Ordered | None:
-        """Propose an order and wait for its reply; for other threads.
+        """Order or withdraw an evacuation and wait; for other threads.
 
-        :param order: the order
+        :param failure_domain: the failure domain
+        :param is_evacuated: whether to evacuate it
         :returns: the reply, None if there was none in time
         """
+        order = evacuation.Order(
+            failure_domain=failure_domain,
+            is_evacuated=is_evacuated,
+            revision=self._state_machine.evacuation.evacuations.revision,
+        )
         timeout_s = evacuation_const.ORDER_TIMEOUT_S
         data = reactor_calls.call_and_wait(
             self._reactor,
--- a/packages/bambooring/src/bambooring/evacuation/evacuation.capnp
+++ b/packages/bambooring/src/bambooring/evacuation/evacuation.capnp
@@ -3,12 +3,14 @@
 struct Order {
   failureDomain @0 :Text;
   isEvacuated @1 :Bool;
+  revision @2 :UInt64;
 }
 
 enum Outcome {
   changed @0;
   repeated @1;
   refused @2;
+  superseded @3;
 }
 
 struct Ordered {
--- a/packages/bambooring/src/bambooring/evacuation/messages.py
+++ b/packages/bambooring/src/bambooring/evacuation/messages.py
@@ -14,22 +14,30 @@
 @codec.register(SCHEMA, 210)
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Order:
-    """Command to evacuate a failure domain, or to withdraw its evacuation."""
+    """Command to evacuate a failure domain, or to withdraw its evacuation.
+
+    ``revision`` is the one that was known when the order was given. A later
+    change supersedes it: a replica that was frozen, or that had to wait for a
+    leader, may propose an order that its operator has given up long ago.
+    """
 
     failure_domain: str
     is_evacuated: bool
+    revision: int
 
 
 class Outcome(enum.StrEnum):
     """The outcome of an order.
 
     REPEATED means that the failure domain was in that state already, REFUSED
-    that too many are evacuated.
+    that too many are evacuated, and SUPERSEDED that there was a change which
+    the order doesn't know of.
     """
 
     CHANGED = 'changed'
     REPEATED = 'repeated'
     REFUSED = 'refused'
+    SUPERSEDED = 'superseded'
 
 
 @codec.register(SCHEMA, 211)
--- a/packages/bambooring/src/bambooring/evacuation/state.py
+++ b/packages/bambooring/src/bambooring/evacuation/state.py
@@ -20,7 +20,7 @@
         self.evacuations = messages.Evacuations(revision=0, failure_domains=[])
 
     def apply(self, command: messages.Order) -> messages.Ordered:
-        """Carry out an order; a repeated one changes nothing.
+        """Carry out an order; a repeated or superseded one changes nothing.
 
         :param command: the order
         :returns: the outcome, and the revision after it
@@ -29,6 +29,8 @@
         outcome = messages.Outcome.CHANGED
         if (command.failure_domain in domains) is command.is_evacuated:
             outcome = messages.Outcome.REPEATED
+        elif command.revision < self.evacuations.revision:
+            outcome = messages.Outcome.SUPERSEDED
         elif not command.is_evacuated:
             domains.remove(command.failure_domain)
         elif len(domains) >= const.MAX_FAILURE_DOMAINS:
--- a/packages/bambooring/src/bambooring/evacuation/task.py
+++ b/packages/bambooring/src/bambooring/evacuation/task.py
@@ -23,9 +23,13 @@
     _record_outcome(order, outcome, ordered.revision if ordered else 0)
 
 
-def record_unknown_domain(order: messages.Order) -> None:
-    """Log and count an order that names no known failure domain."""
-    _record_outcome(order, 'unknown_domain', 0)
+def record_unproposed(order: messages.Order, outcome: str) -> None:
+    """Log and count an order that isn't proposed.
+
+    :param order: the order
+    :param outcome: the reason, as a metric label
+    """
+    _record_outcome(order, outcome, 0)
 
 
 def _record_outcome(
--- a/packages/bambooring/src/bambooring/evacuation/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/evacuation/tests/test_state.py
@@ -12,9 +12,17 @@
 from bambooring_core import codec
 
 
-def _order(store, domain, is_evacuated=True):
+ORDER = messages.Order(failure_domain='a', is_evacuated=True, revision=0)
+
+
+def _order(store, domain, is_evacuated=True, revision=None):
+    """Carry out an order that knows the newest revision, or another one."""
+    if revision is None:
+        revision = store.evacuations.revision
     ordered = store.apply(
-        messages.Order(failure_domain=domain, is_evacuated=is_evacuated)
+        messages.Order(
+            failure_domain=domain, is_evacuated=is_evacuated, revision=revision
+        )
     )
     return ordered.outcome.value, ordered.revision
 
@@ -38,6 +46,19 @@
     assert _order(store, 'b', False) == ('repeated', 3)
 
 
+# A replica that was frozen carried out a withdrawal that its operator had
+# given up, after the next evacuation was acknowledged.
+def test_late_order_does_not_undo_a_later_one():
+    """An order that doesn't know of the latest change is superseded."""
+    store = state.EvacuationStore()
+    _order(store, 'a')
+    _order(store, 'a', False)
+    _order(store, 'a')
+    assert _order(store, 'a', False, revision=1) == ('superseded', 3)
+    assert _order(store, 'a', True, revision=1) == ('repeated', 3)
+    assert store.evacuations.failure_domains == ['a']
+
+
 def test_sent_evacuations_are_not_modified():
     """A message that waits to be sent doesn't change with a later order."""
     store = state.EvacuationStore()
@@ -80,9 +101,7 @@
 def test_evacuations_survive_a_snapshot():
     """A replica that starts from a snapshot knows what is evacuated."""
     state_machine = state_machine_module.ControlStateMachine()
-    _apply(
-        state_machine, messages.Order(failure_domain='a', is_evacuated=True)
-    )
+    _apply(state_machine, ORDER)
     restored = state_machine_module.ControlStateMachine()
     restored.restore(state_machine.save())
     assert restored.evacuation.evacuations == messages.Evacuations(
@@ -94,9 +113,7 @@
     """A snapshot without evacuations replaces those that were known."""
     older = state_machine_module.ControlStateMachine().save()
     state_machine = state_machine_module.ControlStateMachine()
-    _apply(
-        state_machine, messages.Order(failure_domain='a', is_evacuated=True)
-    )
+    _apply(state_machine, ORDER)
     state_machine.restore(older)
     assert state_machine.evacuation.evacuations.revision == 0
 
@@ -106,7 +123,5 @@
     state_machine = state_machine_module.ControlStateMachine()
     consult = policy.Consult(is_whole=False)
     assert _apply(state_machine, consult).evacuation_revision == 0
-    _apply(
-        state_machine, messages.Order(failure_domain='a', is_evacuated=True)
-    )
+    _apply(state_machine, ORDER)
     assert _apply(state_machine, consult).evacuation_revision == 1
--- a/packages/bambooring/src/bambooring/gateway/calls.py
+++ b/packages/bambooring/src/bambooring/gateway/calls.py
@@ -1,6 +1,7 @@
 """Answer operators' calls to a control replica."""
 
 import collections.abc
+import dataclasses
 import functools
 import typing
 
@@ -18,6 +19,7 @@
 from bambooring_core import codec
 from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as http1_server
+from bambooring_core import reactor as reactor_module
 
 LOG = structlog.get_logger(__name__)
 
@@ -36,11 +38,13 @@
     def __init__(
         self,
         *,
+        reactor: reactor_module.Reactor,
         submit: SubmitCommand,
         get_term: collections.abc.Callable[[], int],
         get_evacuations: collections.abc.Callable[[], evacuation.Evacuations],
         known_domains: collections.abc.Collection[str],
     ) -> None:
+        self._reactor = reactor
         self._submit = submit
         self._get_term = get_term
         self._get_evacuations = get_evacuations
@@ -125,33 +129,64 @@
         is_evacuated: bool,
     ) -> None:
         """Evacuate a failure domain, or withdraw its evacuation."""
+        evacuations = self._get_evacuations()
         order = evacuation.Order(
-            failure_domain=failure_domain, is_evacuated=is_evacuated
+            failure_domain=failure_domain,
+            is_evacuated=is_evacuated,
+            revision=evacuations.revision,
         )
         try:
             evacuation_state.check_domain(
-                failure_domain, self._known_domains, self._get_evacuations()
+                failure_domain, self._known_domains, evacuations
             )
         except evacuation_errors.UnknownDomainError as error:
-            evacuation_task.record_unknown_domain(order)
+            evacuation_task.record_unproposed(order, 'unknown_domain')
             respond(exchange, 404, str(error))
             return
+        deadline_s = self._reactor.now() + evacuation_const.ORDER_TIMEOUT_S
+        self._reactor.call_later(
+            evacuation_const.ORDER_DELAY_S,
+            functools.partial(self._propose, exchange, order, deadline_s),
+        )
+
+    def _propose(
+        self,
+        exchange: http1_server.Exchange,
+        order: evacuation.Order,
+        deadline_s: float,
+    ) -> None:
+        """Propose an order unless its caller has gone.
+
+        The caller resends it elsewhere and may give the opposite one next.
+        """
+        if exchange.is_done:
+            evacuation_task.record_unproposed(order, 'abandoned')
+            return
         self._submit(
             order,
-            evacuation_const.ORDER_TIMEOUT_S,
-            functools.partial(self._respond_to_order, exchange, order),
+            max(0.0, deadline_s - self._reactor.now()),
+            functools.partial(
+                self._respond_to_order, exchange, order, deadline_s
+            ),
         )
 
     def _respond_to_order(
         self,
         exchange: http1_server.Exchange,
         order: evacuation.Order,
+        deadline_s: float,
         reply: bytes | None,
     ) -> None:
         ordered = codec.unpack(reply) if reply else None
         evacuation_task.record_order(order, ordered)
         if ordered is None:
             respond(exchange, 503, 'no majority in time')
+        elif ordered.outcome is evacuation.Outcome.SUPERSEDED:
+            # Its caller still waits, so that it is the latest word.
+            latest_order = dataclasses.replace(
+                order, revision=ordered.revision
+            )
+            self._propose(exchange, latest_order, deadline_s)
         elif ordered.outcome is evacuation.Outcome.REFUSED:
             respond(exchange, 422, 'too many failure domains')
         else:
--- a/packages/bambooring/src/bambooring/gateway/control.py
+++ b/packages/bambooring/src/bambooring/gateway/control.py
@@ -109,6 +109,7 @@
             get_control_links=self._get_control_links,
         )
         self._operator_calls = calls.OperatorCalls(
+            reactor=reactor,
             submit=self.submit,
             get_term=lambda: self._replicator.term,
             get_evacuations=self._get_evacuations,
--- a/packages/bambooring/src/bambooring/operators/api.py
+++ b/packages/bambooring/src/bambooring/operators/api.py
@@ -38,11 +38,12 @@
         """
 
     def order_evacuation(
-        self, order: evacuation.Order
+        self, failure_domain: str, *, is_evacuated: bool
     ) -> evacuation.Ordered | None:
-        """Propose an order of an evacuation and wait for its reply.
+        """Order or withdraw an evacuation and wait for the reply.
 
-        :param order: the order
+        :param failure_domain: the failure domain
+        :param is_evacuated: whether to evacuate it
         :returns: the reply, None if there was none in time
         """
 
@@ -149,12 +150,12 @@
         if not bounds.is_text(domain) or '\ufffd' in domain:
             return _make_error_response(404, 'no_such_domain')
         ordered = self._backend.order_evacuation(
-            evacuation.Order(
-                failure_domain=domain, is_evacuated=request.method == 'POST'
-            )
+            domain, is_evacuated=request.method == 'POST'
         )
         if ordered is None:
             return _make_error_response(503, 'no_answer_yet')
+        if ordered.outcome is evacuation.Outcome.SUPERSEDED:
+            return _make_error_response(503, 'changed_meanwhile')
         if ordered.outcome is evacuation.Outcome.REFUSED:
             return _make_error_response(422, 'too_many_domains')
         return _make_json_response(
--- a/packages/bambooring/src/bambooring/operators/tests/test_api.py
+++ b/packages/bambooring/src/bambooring/operators/tests/test_api.py
@@ -78,7 +78,8 @@
         path, method=method, headers={'Authorization': f'Bearer {KEY}'}
     )
     return response.status_code, [
-        call.args[0] for call in backend.order_evacuation.call_args_list
+        (call.args[0], call.kwargs['is_evacuated'])
+        for call in backend.order_evacuation.call_args_list
     ]
 
 
@@ -87,13 +88,15 @@
 )
 def test_order_is_proposed(method, is_evacuated):
     """An order names the failure domain as the operator wrote it."""
-    order = evacuation.Order(failure_domain='a b', is_evacuated=is_evacuated)
+    order = ('a b', is_evacuated)
     assert _order(method, '/v1/evacuations/a%20b') == (200, [order])
 
 
 def test_order_without_an_answer_is_resent():
     """The status lets the command line try the next replica."""
     assert _order('POST', '/v1/evacuations/a', None)[0] == 503
+    superseded = evacuation.Outcome.SUPERSEDED
+    assert _order('POST', '/v1/evacuations/a', superseded)[0] == 503
 
 
 def test_order_beyond_the_limit():
--- a/proofs/evacuation.py
+++ b/proofs/evacuation.py
@@ -78,15 +78,15 @@
         domain = self.world.rng.choice(self.cluster.domains)
         is_evacuated = domain not in self.evacuated_since_s
         self.evacuated_since_s.pop(domain, None)
-        self.send_order(
-            messages.Order(failure_domain=domain, is_evacuated=is_evacuated),
-            MAX_SENDS,
-        )
+        self.send_order(domain, is_evacuated, MAX_SENDS)
 
-    def send_order(self, order: messages.Order, sends_left: int) -> None:
+    def send_order(
+        self, domain: str, is_evacuated: bool, sends_left: int
+    ) -> None:
         """Send an order to a replica, and handle the reply later.
 
-        :param order: the order
+        :param domain: the failure domain
+        :param is_evacuated: whether to evacuate it
         :param sends_left: the number of requests permitted, with this one
         """
         replies: list[messages.Ordered | None] = []
@@ -94,34 +94,40 @@
 
         def handle_reply(data: bytes | None) -> None:
             replies.append(codec.unpack(data) if data else None)
-            if data and order.is_evacuated:
-                self.evacuated_since_s.setdefault(
-                    order.failure_domain, self.world.now
-                )
+            if is_evacuated and is_carried_out(replies):
+                self.evacuated_since_s.setdefault(domain, self.world.now)
 
         if node.is_alive and node.hub is not None:
             process = node.process
+            evacuations = process._state_machine.evacuation.evacuations
+            order = messages.Order(
+                failure_domain=domain,
+                is_evacuated=is_evacuated,
+                revision=evacuations.revision,
+            )
             node.hub.reactor.post(
                 lambda: process.submit(
                     order, ANSWER_WAIT_S - 0.2, handle_reply
                 )
             )
         self.world.schedule(
-            ANSWER_WAIT_S, lambda: self.follow_up(order, replies, sends_left)
+            ANSWER_WAIT_S,
+            lambda: self.follow_up(domain, is_evacuated, replies, sends_left),
         )
 
     def follow_up(
         self,
-        order: messages.Order,
+        domain: str,
+        is_evacuated: bool,
         replies: list[messages.Ordered | None],
         sends_left: int,
     ) -> None:
-        """Resend an order without a reply, else give the next one."""
+        """Resend an order that isn't carried out, else give the next one."""
         if replies and replies[0] is not None:
             self.world.facts[replies[0].outcome.value] += 1
-        elif sends_left > 1:
+        if sends_left > 1 and not is_carried_out(replies):
             self.world.facts['sent_again'] += 1
-            self.send_order(order, sends_left - 1)
+            self.send_order(domain, is_evacuated, sends_left - 1)
             return
         if self.is_injecting_faults:
             self.world.schedule(self.world.rng.uniform(2.0, 10.0), self.order)
@@ -192,6 +198,16 @@
             )
 
 
+def is_carried_out(replies: list[messages.Ordered | None]) -> bool:
+    """Return whether a reply says that an order holds."""
+    return any(
+        reply is not None
+        and reply.outcome
+        in (messages.Outcome.CHANGED, messages.Outcome.REPEATED)
+        for reply in replies
+    )
+
+
 def prove(seed: int, steps: int = DEFAULT_STEPS) -> world_module.Result:
     """Run the proof.
 
