--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -77,10 +77,14 @@
     """What the usable targets of a service may run and do run.
 
     ``slots`` is how many requests they may run at once, ``running`` how many
-    they run. ``free`` is how many slots aren't taken.
+    they run. ``free`` is how many slots aren't taken, ``near_free`` how many
+    of them are in the instance's own failure domain. ``has_near`` is true if
+    any of the targets is there.
     """
 
     free: int
+    near_free: int
+    has_near: bool
     slots: float
     running: int
 
@@ -219,6 +223,7 @@
         allowed_domains: domains_module.Domains = None,
         request_bytes: int = 0,
         waited_s: float = 0.0,
+        is_near_only: bool = False,
     ) -> Choice | None:
         """Return the target with the least load, or None if all are full.
 
@@ -236,6 +241,8 @@
         :param allowed_domains: the failure domains to choose from
         :param request_bytes: the size of the request
         :param waited_s: how long it has waited here, in seconds
+        :param is_near_only: whether only targets in the own failure domain
+            are chosen
         """
         self.loads.expire(now_s)
         self._groups.expire_slowdowns(now_s)
@@ -252,7 +259,11 @@
         loaded = [
             (target, load)
             for target in candidates
-            if self._has_room(
+            if (
+                not is_near_only
+                or target.failure_domain == self._failure_domain
+            )
+            and self._has_room(
                 target, load := self._sum_load(target.id), extra_requests
             )
         ]
@@ -495,7 +506,7 @@
         """
         self.loads.expire(now_s)
         limit = self._limits_by_service.get(service)
-        room = Room(free=0, slots=0.0, running=0)
+        room = Room(free=0, near_free=0, has_near=False, slots=0.0, running=0)
         count_running = self.loads.count_running
         for target in self._list_candidates(service, now_s, ()):
             slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
@@ -510,7 +521,12 @@
             room.running += running
             if running < max_running:
                 max_running /= self._groups.get_slowdown(target)
-                room.free += max(0, math.floor(max_running) - running)
+                target_free = max(0, math.floor(max_running) - running)
+                room.free += target_free
+                if target.failure_domain == self._failure_domain:
+                    room.near_free += target_free
+            if target.failure_domain == self._failure_domain:
+                room.has_near = True
         return room
 
     def is_recovering(self, service: str) -> bool:
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -394,6 +394,7 @@
             allowed_domains=pending.allowed_domains,
             request_bytes=len(pending.request.body),
             waited_s=now_s - pending.admitted_s,
+            is_near_only=self.order.is_near_only(pending, now_s),
         )
 
     def _list_full_targets(
