--- a/packages/bambooring/src/bambooring/gateway/permits.py
+++ b/packages/bambooring/src/bambooring/gateway/permits.py
@@ -156,6 +156,8 @@
         self._cold.update(self._reactor.now())
         for outcome, count in self._cold.outcomes.items():
             metrics.PERMITS.labels(outcome=outcome).inc(count)
+        if self._cold.outcomes:
+            LOG.info('permits counted', **self._cold.outcomes)
         self._cold.outcomes.clear()
         for change in self._cold.take_changes():
             LOG.info(
