Check configurations for contradictions and compare them

Cause: `bambooring check` told only whether each file matches its schema. Entries that can never match, limits that contradict each other and the difference from what is in force were seen only after sending.

Change: the new folder review/ has pure checks of declared records and of policies, and the comparison with the version in force; findings have a severity, a code and an entry.

Ruled out: checks on the raw document, which would repeat the decoder's knowledge of names.

--- a/packages/bambooring/src/bambooring/operators/commands.py
+++ b/packages/bambooring/src/bambooring/operators/commands.py
@@ -19,8 +19,11 @@
 from bambooring.operators import declarations
 from bambooring.operators import errors
 from bambooring.operators import explanation
+from bambooring.operators import review
 from bambooring.operators import tables
 from bambooring.replication import storage
+from bambooring.review import messages
+from bambooring.review import report
 from bambooring import schema
 from bambooring_core import const as core_const
 from bambooring_core import errors as core_errors
@@ -30,8 +33,8 @@
 from bambooring_core import settings as core_settings
 
 EPILOG = """
-Exit codes: 0 success, 1 failure, 2 invalid arguments, settings or
-declarations, 3 a change was refused as a conflict, 4 a change was accepted but
+Exit codes: 0 success, 1 failure, or warnings of `check`, 2 invalid arguments,
+settings or declarations, 3 a change was refused as a conflict, 4 a change was accepted but
 is not in force in time, 5 the outcome is not known, 6 `diff` found
 differences.
 """
@@ -147,30 +150,74 @@
 
 @main.command()
 @_FOLDER_ARGUMENT
-def check(folder: pathlib.Path) -> None:
-    """Validate declarations and settings files below FOLDER, offline."""
-    invalid_count = 0
-    for path in sorted(folder.rglob('*.json5')):
-        try:
-            _check_file(path)
-        except (core_errors.SettingsError, server_errors.ServerError) as error:
-            click.echo(str(error), err=True)
-            invalid_count += 1
-        else:
-            click.echo(f'{path}: good')
-    if invalid_count:
-        sys.exit(const.EXIT_USAGE)
+@click.option(
+    '--against',
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help='A folder or file with the declarations in force.',
+)
+@click.option(
+    '--operator',
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    help='Settings of the operator: ask the control replicas what is in'
+    ' force.',
+)
+@_PRUNE_OPTION
+@_JSON_OPTION
+def check(
+    folder: pathlib.Path,
+    against: pathlib.Path | None,
+    operator: pathlib.Path | None,
+    prune: bool,
+    as_json: bool,
+) -> None:
+    """Check declarations and settings files below FOLDER, and compare them.
 
+    Works offline, except with --operator. Records in force that are not in
+    FOLDER count as kept, unless --prune is given.
 
-def _check_file(path: pathlib.Path) -> None:
-    """Validate a file as settings or declarations, depending on its keys."""
-    value = core_settings.read_file(path)
-    if isinstance(value, dict) and settings_const.CONF_ROLE in value:
-        schema.read_settings(path)
-    elif isinstance(value, dict) and client_module.CONF_SERVERS in value:
-        client_module.read_settings(path)
+    Exit codes: 0 no findings or only notes, 1 warnings (it can be sent, but
+    an entry never matches or limits contradict each other), 2 errors (it
+    would be refused, or can't be read).
+    """
+    if against is not None and operator is not None:
+        raise click.UsageError('--against and --operator exclude each other')
+    checked = review.read_folder(folder)
+    in_force = None
+    findings = []
+    try:
+        in_force = _read_in_force(against, operator)
+    except (core_errors.SettingsError, server_errors.ServerError) as error:
+        findings.append(
+            report.error('in_force_unreadable', 'in force', str(error))
+        )
+    findings += review.review(checked, in_force, prune=prune)
+    if as_json:
+        click.echo(report.render_json(findings))
     else:
-        declarations.read_file(path)
+        for path in checked.valid_paths:
+            click.echo(f'{path}: good')
+        for finding in findings:
+            if finding.severity is messages.Severity.ERROR:
+                # It begins with the file and the line.
+                click.echo(finding.text, err=True)
+            else:
+                click.echo(report.render(finding))
+    sys.exit(report.get_exit_code(findings))
+
+
+def _read_in_force(
+    against: pathlib.Path | None, operator: pathlib.Path | None
+) -> review.Declarations | None:
+    if operator is not None:
+        listing = _make_client(operator).list_records()
+        return review.convert_records(listing['records'])
+    if against is None:
+        return None
+    if against.is_dir():
+        return declarations.read_folder(against)
+    in_force: review.Declarations = {}
+    declarations.add_file(against, in_force)
+    return in_force
 
 
 @main.command()
--- a/packages/bambooring/src/bambooring/operators/declarations.py
+++ b/packages/bambooring/src/bambooring/operators/declarations.py
@@ -61,19 +61,34 @@
     """
     declarations: dict[RecordKey, dict[str, typing.Any]] = {}
     for path in sorted(folder.rglob('*.json5')):
-        for declaration in read_file(path):
-            key = (
-                declaration[configuration_const.ATTR_KIND],
-                declaration[configuration_const.ATTR_NAME],
-            )
-            if key in declarations:
-                raise configuration_errors.InvalidRecordError(
-                    f'{path}: {key[0]} {key[1]}: declared twice'
-                )
-            declarations[key] = declaration
+        add_file(path, declarations)
     return declarations
 
 
+def add_file(
+    path: pathlib.Path,
+    declarations: dict[RecordKey, dict[str, typing.Any]],
+) -> None:
+    """Read the declarations of one file and add them to others.
+
+    :param path: the file
+    :param declarations: the declarations by kind and name, to be extended
+    :raises SettingsError: if the file can't be read
+    :raises ConfigurationError: if a declaration is not valid, or has the
+        kind and name of another one
+    """
+    for declaration in read_file(path):
+        key = (
+            declaration[configuration_const.ATTR_KIND],
+            declaration[configuration_const.ATTR_NAME],
+        )
+        if key in declarations:
+            raise configuration_errors.InvalidRecordError(
+                f'{path}: {key[0]} {key[1]}: declared twice'
+            )
+        declarations[key] = declaration
+
+
 def compare(
     declared: dict[RecordKey, dict[str, typing.Any]],
     listed_records: list[dict[str, typing.Any]],
--- /dev/null
+++ b/packages/bambooring/src/bambooring/review/__init__.py
@@ -0,0 +1,1 @@
+"""Check a configuration before it is sent, and compare it."""
