--- a/packages/bambooring/src/bambooring/operators/review.py
+++ b/packages/bambooring/src/bambooring/operators/review.py
@@ -6,10 +6,10 @@
 import pathlib
 import typing
 
-from bambooring import const as settings_const
 from bambooring.configuration import const as configuration_const
 from bambooring.configuration import errors as configuration_errors
 from bambooring.configuration import records
+from bambooring import const as settings_const
 from bambooring import errors as server_errors
 from bambooring.operators import client as client_module
 from bambooring.operators import declarations
--- a/packages/bambooring/src/bambooring/review/policies.py
+++ b/packages/bambooring/src/bambooring/review/policies.py
@@ -46,9 +46,11 @@
     for account in checked.accounts:
         yield from _review_account(account)
     yield from _review_limits(checked.limits)
-    yield from _review_common_regions(checked)
+    known_regions = None
     if regions_by_domain is not None:
-        yield from _review_known_regions(checked, regions_by_domain)
+        known_regions = set(regions_by_domain.values())
+        yield from _review_known_regions(checked, known_regions)
+    yield from _review_common_regions(checked, known_regions)
 
 
 def _review_names(checked: policy.Policy) -> Findings:
@@ -175,6 +177,13 @@
         yield report.warn(
             'service_unused', entry, 'no route gives it a weight'
         )
+    if 0 < service.max_connections < service.slots:
+        yield report.warn(
+            'connections_below_slots',
+            entry,
+            f'{service.max_connections} connections to a target, which runs'
+            f' {service.slots} requests at once',
+        )
     if service.cold_requests_per_s and not service.cold_s:
         yield report.warn(
             'cold_limit_without_time',
@@ -238,7 +247,9 @@
             )
 
 
-def _review_common_regions(checked: policy.Policy) -> Findings:
+def _review_common_regions(
+    checked: policy.Policy, known_regions: set[str] | None
+) -> Findings:
     """Yield routes and accounts whose allowed regions exclude each other."""
     keyed_routes = [
         route for route in checked.routes if not route.is_anonymous
@@ -247,7 +258,7 @@
         excluded = [
             route.name
             for route in keyed_routes
-            if not _have_common_region(route, account)
+            if not _have_common_region(route, account, known_regions)
         ]
         if not excluded:
             continue
@@ -261,7 +272,8 @@
         )
     for route in keyed_routes:
         if checked.accounts and not any(
-            _have_common_region(route, account) for account in checked.accounts
+            _have_common_region(route, account, known_regions)
+            for account in checked.accounts
         ):
             yield report.warn(
                 'no_common_region',
@@ -270,17 +282,22 @@
             )
 
 
-def _have_common_region(route: policy.Route, account: policy.Account) -> bool:
+def _have_common_region(
+    route: policy.Route,
+    account: policy.Account,
+    known_regions: set[str] | None,
+) -> bool:
     if not route.allowed_regions or not account.allowed_regions:
         return True
-    return bool(set(route.allowed_regions) & set(account.allowed_regions))
+    common_regions = set(route.allowed_regions) & set(account.allowed_regions)
+    if known_regions is not None:
+        common_regions &= known_regions
+    return bool(common_regions)
 
 
 def _review_known_regions(
-    checked: policy.Policy,
-    regions_by_domain: collections.abc.Mapping[str, str],
+    checked: policy.Policy, known_regions: set[str]
 ) -> Findings:
-    known_regions = set(regions_by_domain.values())
     owners: list[tuple[str, list[str]]] = [
         (f'route {route.name}', route.allowed_regions)
         for route in checked.routes
