--- a/packages/bambooring/src/bambooring/operators/tests/test_review.py
+++ b/packages/bambooring/src/bambooring/operators/tests/test_review.py
@@ -60,6 +60,35 @@
     assert [finding['code'] for finding in findings] == ['invalid']
 
 
+def test_settings_beside_declarations(tmp_path):
+    """A limit above what the entry instances run would go unnoticed."""
+    account = {
+        'kind': 'client_account',
+        'name': 'a',
+        'schema': 1,
+        'key_digest': '0' * 64,
+        'max_in_flight': 50,
+    }
+    listen = {'callers': ':1', 'peers': ':2', 'operators': ':3'}
+    settings = {
+        'schema': 1,
+        'role': 'entry',
+        'cluster': 'c',
+        'instance': 'e-1',
+        'failure_domain': 'd-1',
+        'cluster_key_file': 'key',
+        'listen': {name: f'127.0.0.1{port}' for name, port in listen.items()},
+        'control': ['127.0.0.1:4'],
+        'max_running': 49,
+    }
+    (tmp_path / 'entry.json5').write_text(json.dumps(settings))
+    result = _check(_write(tmp_path, account, SERVICE), '--json')
+    findings = json.loads(result.output)['findings']
+    assert 'in_flight_above_capacity' in [
+        finding['code'] for finding in findings
+    ]
+
+
 @pytest.mark.parametrize(
     'options, expected',
     [
--- a/packages/bambooring/src/bambooring/review/declarations.py
+++ b/packages/bambooring/src/bambooring/review/declarations.py
@@ -43,7 +43,9 @@
         yield from _review_limits(account)
     if max_running_by_instance:
         yield from _review_capacity(
-            accounts, sum(max_running_by_instance.values())
+            accounts,
+            len(max_running_by_instance),
+            sum(max_running_by_instance.values()),
         )
 
 
@@ -130,23 +132,25 @@
 
 
 def _review_capacity(
-    accounts: list[records.ClientAccount], capacity: int
+    accounts: list[records.ClientAccount], instance_count: int, capacity: int
 ) -> Findings:
     """Yield limits that the entry instances' own limits don't allow."""
+    # There may be settings of only some instances.
+    instances = f'the entry instances with settings here ({instance_count})'
     for account in accounts:
         if account.limits.in_flight > capacity:
             yield report.warn(
                 'in_flight_above_capacity',
                 _name_account(account),
-                f'{account.limits.in_flight} requests in flight, but all'
-                f' entry instances run {capacity}',
+                f'{account.limits.in_flight} requests in flight, but'
+                f' {instances} run {capacity}',
             )
     total = sum(account.limits.in_flight for account in accounts)
     if total > capacity:
         yield report.note(
             'in_flight_overcommitted',
             'accounts',
-            f'{total} requests in flight in all, but all entry instances run'
+            f'{total} requests in flight in all, but {instances} run'
             f' {capacity}',
         )
 
--- a/packages/bambooring/src/bambooring/review/policies.py
+++ b/packages/bambooring/src/bambooring/review/policies.py
@@ -70,24 +70,24 @@
 
 
 def _review_prefixes(routes: list[policy.Route]) -> Findings:
-    names_by_prefix: dict[tuple[str, str], str] = {}
+    routes_by_prefix: dict[tuple[str, str], policy.Route] = {}
     for route in routes:
-        other = names_by_prefix.setdefault(
-            (route.host, route.path_prefix), route.name
+        other = routes_by_prefix.setdefault(
+            (route.host, route.path_prefix), route
         )
-        if other != route.name:
+        if other is not route:
             yield report.error(
                 'duplicate_prefix',
                 f'route {route.name}',
-                f'route {other} has the same host and path prefix',
+                f'route {other.name} has the same host and path prefix',
             )
     for route in routes:
-        longer = names_by_prefix.get((route.host, f'{route.path_prefix}/'))
+        longer = routes_by_prefix.get((route.host, f'{route.path_prefix}/'))
         if longer is not None:
             yield report.note(
                 'prefix_mostly_shadowed',
                 f'route {route.name}',
-                f'matches only {route.path_prefix} itself, as route {longer}'
+                f'matches only {route.path_prefix} itself, as route {longer.name}'
                 ' has all paths below',
             )
 
@@ -194,15 +194,15 @@
 
 
 def _review_keys(accounts: list[policy.Account]) -> Findings:
-    owners: dict[str, str] = {}
+    owners: dict[str, policy.Account] = {}
     for account in accounts:
         for key in account.keys:
-            owner = owners.setdefault(key, account.name)
-            if owner != account.name:
+            owner = owners.setdefault(key, account)
+            if owner is not account:
                 yield report.error(
                     'shared_key',
                     f'account {account.name}',
-                    f'a key of account {owner}',
+                    f'a key of account {owner.name}',
                 )
 
 
--- a/packages/bambooring/src/bambooring/review/tests/test_policies.py
+++ b/packages/bambooring/src/bambooring/review/tests/test_policies.py
@@ -91,6 +91,12 @@
     assert _review(routes) == ['error duplicate_prefix route s']
 
 
+def test_prefix_taken_by_route_of_same_name():
+    """A route that is copied would pass as one."""
+    findings = _review([_make_route(), _make_route()])
+    assert 'error duplicate_prefix route r' in findings
+
+
 def test_prefix_mostly_shadowed():
     """A prefix with a slash takes all paths below that without."""
     routes = [_make_route('r'), _make_route('s', path_prefix='/r')]
