--- a/packages/bambooring/src/bambooring/operators/commands.py
+++ b/packages/bambooring/src/bambooring/operators/commands.py
@@ -161,7 +161,11 @@
     help='Settings of the operator: ask the control replicas what is in'
     ' force.',
 )
-@_PRUNE_OPTION
+@click.option(
+    '--prune',
+    is_flag=True,
+    help='Check as if records that are not declared in FOLDER were removed.',
+)
 @_JSON_OPTION
 def check(
     folder: pathlib.Path,
