Split the balancer by the decisions that it makes

Which targets may get a request, which one is chosen, what the capacity is, what is learnt from responses and what is reported were methods of one class, and choose() took ten arguments.

Change: what an instance knows is one data class (knowledge.Knowledge), made of parts (pool, running, limits, refusals, durations and those that were modules before). The decisions are functions of it: candidates, choice, capacity; outcomes and reports update it or tell of it. Balancer passes calls on. The arguments of choose() are messages.TargetQuery, named like the query of the routing slice; permit_types has a Demand already.

Tests: only calls of choose() are rewritten, and three names: _health is known.health (test_cut_answers, test_invalid_statuses, test_task), _list_targets is known.pool.list_targets (test_permits). state.Choice, .ServiceCapacity and .Room remain as aliases, so that forwarding needs no other change.

Ruled out: a class for each decision with references to all others (cycles, and each constructor would repeat the parts); a generator for each condition of a candidate.

--- a/measures/order.py
+++ b/measures/order.py
@@ -7,6 +7,7 @@
 import types
 import typing
 
+from bambooring.balancing import messages as balancing_messages
 from bambooring.balancing import state as balancing
 from bambooring.forwarding import arrivals
 from bambooring.forwarding import decisions
@@ -130,7 +131,11 @@
             lambda now_s: tracker.classify('r', rng.randrange(9999), 8.0)
         ),
         'decide_us': _time_us(decide),
-        'choose_us': _time_us(lambda now_s: balancer.choose('llm', now_s)),
+        'choose_us': _time_us(
+            lambda now_s: balancer.choose(
+                balancing_messages.TargetQuery(service='llm'), now_s
+            )
+        ),
     }
 
 
--- a/measures/spill.py
+++ b/measures/spill.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import state
 from bambooring.loads import const as loads_const
 from bambooring.targets import messages
@@ -93,7 +94,9 @@
     count = int(loads_const.PEER_LOAD_TTL_S * REQUESTS_PER_S)
     began_s = time.process_time()
     for number in range(count):
-        balancer.choose('llm', number / REQUESTS_PER_S)
+        balancer.choose(
+            balancing.TargetQuery(service='llm'), number / REQUESTS_PER_S
+        )
     return (time.process_time() - began_s) / count * 1e6
 
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
@@ -6,6 +6,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import state
 from bambooring.targets import messages
 
@@ -34,7 +35,12 @@
 
 
 def _choose(balancer, now_s=0.0, excluded=(), allowed=None):
-    choice = balancer.choose('llm', now_s, excluded, allowed_domains=allowed)
+    choice = balancer.choose(
+        balancing.TargetQuery(
+            service='llm', excluded_ids=excluded, allowed_domains=allowed
+        ),
+        now_s,
+    )
     return choice.target.id if choice else None
 
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_groups.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_groups.py
@@ -9,10 +9,12 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import state
 from bambooring.targets import messages
 
 RANKS = 4
+QUERY = balancing.TargetQuery(service='llm')
 
 
 def _announce(balancer, states):
@@ -46,7 +48,7 @@
     _announce(balancer, [(1, True)] * 3 + [(1, False)])
     assert balancer.is_unavailable('llm', 0.0)
     probes = sum(
-        balancer.choose('llm', step / 100) is not None for step in range(500)
+        balancer.choose(QUERY, step / 100) is not None for step in range(500)
     )
     assert probes == 5.0 / const.BROKEN_GROUP_PROBE_INTERVAL_S
 
@@ -57,14 +59,14 @@
     _announce(balancer, [(1, False)] * RANKS)
     _announce(balancer, [(1, False)] * 3 + [(2, True)])
     assert not balancer.is_unavailable('llm', 0.0)
-    assert all(balancer.choose('llm', 0.0) for _ in range(8))
+    assert all(balancer.choose(QUERY, 0.0) for _ in range(8))
 
 
 def test_response_overrides_outdated_heartbeat():
     """A group that responds is open, whatever its last heartbeat said."""
     balancer = _make_balancer()
     _announce(balancer, [(3, False)] * RANKS)
-    assert balancer.choose('llm', 0.0)
+    assert balancer.choose(QUERY, 0.0)
     balancer.record_response_started('llm')
     assert not balancer.is_unavailable('llm', 0.0)
     _announce(balancer, [(3, False)] * RANKS)
@@ -80,7 +82,7 @@
     paces = messages.GroupPaces(group='g', paces=[1.0, 1.0, 3.0, 1.0])
     balancer.update_slowdowns(paces, 0.0)
     for _ in range(14):
-        choice = balancer.choose('llm', 0.0)
+        choice = balancer.choose(QUERY, 0.0)
         balancer.add_request(choice.target.id, 100)
     running = [balancer.count_running(str(rank)) for rank in range(RANKS)]
     assert running[2] == 1
@@ -93,10 +95,10 @@
     _announce(balancer, [(1, True)] * RANKS)
     paces = messages.GroupPaces(group='g', paces=[12.0, 1.0, 1.0, 1.0])
     balancer.update_slowdowns(paces, 0.0)
-    while (choice := balancer.choose('llm', 0.0)) is not None:
+    while (choice := balancer.choose(QUERY, 0.0)) is not None:
         balancer.add_request(choice.target.id, 100)
     assert balancer.count_running('0') == 0
-    assert balancer.choose('llm', const.SLOWDOWN_TTL_S + 1).target.id == '0'
+    assert balancer.choose(QUERY, const.SLOWDOWN_TTL_S + 1).target.id == '0'
 
 
 def test_services_without_groups():
--- a/packages/bambooring/src/bambooring/balancing/tests/test_herding.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_herding.py
@@ -7,6 +7,7 @@
 import collections
 import random
 
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import state
 from bambooring.targets import messages
 
@@ -51,7 +52,7 @@
 
 
 def _choose(balancer):
-    choice = balancer.choose('llm', 0.0)
+    choice = balancer.choose(balancing.TargetQuery(service='llm'), 0.0)
     assert choice is not None
     return choice.target.id
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_leaving.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_leaving.py
@@ -5,6 +5,7 @@
 
 from bambooring.balancing import const
 from bambooring.balancing import leaving as leaving_module
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import runs as runs_module
 from bambooring.balancing import state
 from bambooring.targets import messages
@@ -25,7 +26,7 @@
 
 
 def _choose(balancer, now_s=0.0):
-    choice = balancer.choose('llm', now_s)
+    choice = balancer.choose(balancing.TargetQuery(service='llm'), now_s)
     return choice.target.id if choice else None
 
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_peer_health.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_peer_health.py
@@ -4,6 +4,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import peer_health
 from bambooring.balancing import state
 from bambooring.loads import const as loads_const
@@ -37,7 +38,9 @@
 
 
 def _choose(balancer, now_s, may_probe=True):
-    choice = balancer.choose('llm', now_s, may_probe=may_probe)
+    choice = balancer.choose(
+        balancing.TargetQuery(service='llm', may_probe=may_probe), now_s
+    )
     return choice.target.id if choice else None
 
 
@@ -109,7 +112,9 @@
             balancer = self.balancers[address]
             delay_s = 0.012
             if kind == 'new':
-                choice = balancer.choose('llm', now_s)
+                choice = balancer.choose(
+                    balancing.TargetQuery(service='llm'), now_s
+                )
                 if choice is None:
                     continue
                 id = choice.target.id
--- a/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_permits.py
@@ -3,6 +3,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import permits
 from bambooring.balancing import state
 from bambooring.policy import messages as policy
@@ -46,7 +47,9 @@
 
     def choose(self, now_s=0.0):
         """Return the id of the chosen target, None if there is none."""
-        choice = self.balancer.choose('llm', now_s)
+        choice = self.balancer.choose(
+            balancing.TargetQuery(service='llm'), now_s
+        )
         return choice.target.id if choice else None
 
     def takes_valid_permit(self, target):
@@ -140,7 +143,7 @@
     assert not instance.grant(request, 1)
     target = next(
         target
-        for target in instance.balancer._list_targets('llm')
+        for target in instance.balancer.known.pool.list_targets('llm')
         if target.id == request.target_id
     )
     instance.cold.take_permit(target)
--- a/packages/bambooring/src/bambooring/balancing/tests/test_prompts.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_prompts.py
@@ -8,6 +8,7 @@
 import collections
 import random
 
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import state
 from bambooring.targets import messages
 
@@ -46,7 +47,7 @@
     balancer.add_request('0', 600)
     balancer.add_request('1', 2500)
     balancer.record_prompt_read('1', 2500)
-    choice = balancer.choose('llm', 0.0)
+    choice = balancer.choose(balancing.TargetQuery(service='llm'), 0.0)
     assert choice is not None
     assert choice.target.id == '1'
 
@@ -103,7 +104,7 @@
     delays = []
     for _ in range(PASSES):
         for _ in range(ARRIVALS_PER_PASS):
-            choice = balancer.choose('llm', 0.0)
+            choice = balancer.choose(balancing.TargetQuery(service='llm'), 0.0)
             if choice is None:
                 continue
             prompt_tokens = min(
--- a/packages/bambooring/src/bambooring/balancing/tests/test_reopening.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_reopening.py
@@ -11,6 +11,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import state
 from bambooring.targets import messages
 
@@ -50,7 +51,9 @@
 
 
 def _fill(balancer, now_s, running):
-    while choice := balancer.choose('llm', now_s):
+    while choice := balancer.choose(
+        balancing.TargetQuery(service='llm'), now_s
+    ):
         balancer.add_request(choice.target.id, 1)
         running.append([choice.target.id, 0, True])
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_rests.py
@@ -4,6 +4,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import rests as rests_module
 from bambooring.balancing import runs as runs_module
 from bambooring.balancing import state
@@ -31,7 +32,10 @@
 
 
 def _choose(balancer, now_s, excluded=(), **options):
-    choice = balancer.choose('llm', now_s, excluded, **options)
+    choice = balancer.choose(
+        balancing.TargetQuery(service='llm', excluded_ids=excluded, **options),
+        now_s,
+    )
     return choice.target.id if choice else None
 
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_spill.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_spill.py
@@ -4,6 +4,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import spill
 from bambooring.balancing import state
 from bambooring.loads import const as loads_const
@@ -268,7 +269,9 @@
 
 
 def _choose(balancer, now_s=0.0, **options):
-    choice = balancer.choose('tool', now_s, **options)
+    choice = balancer.choose(
+        balancing.TargetQuery(service='tool', **options), now_s
+    )
     return choice.target.id if choice else None
 
 
@@ -310,7 +313,12 @@
     balancer = _make_balancer(PLAIN, INSTANCES, byte_cost_s_per_mb=9.0)
     for sender in INSTANCES:
         _report(balancer, sender)
-    choice = balancer.choose('tool', 0.0, {'a1'}, request_bytes=3_000_000)
+    choice = balancer.choose(
+        balancing.TargetQuery(
+            service='tool', excluded_ids={'a1'}, request_bytes=3_000_000
+        ),
+        0.0,
+    )
     assert choice is not None
 
 
--- a/packages/bambooring/src/bambooring/balancing/tests/test_state.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_state.py
@@ -6,6 +6,7 @@
 import random
 
 from bambooring.balancing import const
+from bambooring.balancing import messages as balancing
 from bambooring.balancing import state
 from bambooring.loads import const as loads_const
 from bambooring.targets import messages
@@ -35,7 +36,9 @@
 
 
 def _choose(balancer, now=0.0, excluded=()):
-    choice = balancer.choose('llm', now, excluded)
+    choice = balancer.choose(
+        balancing.TargetQuery(service='llm', excluded_ids=excluded), now
+    )
     return choice.target.id if choice else None
 
 
@@ -69,7 +72,7 @@
     assert balancer.count_running('1') == 2
     assert _choose(balancer, 0.1) == '2'
     expired_s = 0.2 + loads_const.PEER_LOAD_TTL_S
-    balancer.choose('llm', expired_s)
+    balancer.choose(balancing.TargetQuery(service='llm'), expired_s)
     assert balancer.count_running('1') == 0
 
 
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -10,6 +10,7 @@
 import structlog
 
 from bambooring.balancing import const as balancing_const
+from bambooring.balancing import messages as balancing_messages
 from bambooring.balancing import state as balancing
 from bambooring.crashes import state as crashes
 from bambooring.forwarding import const
@@ -381,10 +382,10 @@
         counts, a request that waits in a target's own queue would get its next
         slot, though a more urgent one waits elsewhere.
         """
-        return self._balancer.choose(
-            pending.service,
-            now_s,
-            pending.tried_targets | self._list_full_targets(pending),
+        query = balancing_messages.TargetQuery(
+            service=pending.service,
+            excluded_ids=pending.tried_targets
+            | self._list_full_targets(pending),
             may_probe=not pending.progress.attempt_count
             and self._budget.has_reserve(now_s),
             prefers_serving=pending.progress.resting_count > 0,
@@ -396,6 +397,7 @@
             waited_s=now_s - pending.admitted_s,
             is_near_only=self.order.is_near_only(pending, now_s),
         )
+        return self._balancer.choose(query, now_s)
 
     def _list_full_targets(
         self, pending: protocols.QueuedRequest
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_cut_answers.py
@@ -34,7 +34,7 @@
 
 def _ask(harness, path):
     """Return what a caller gets: status, body, and whether it looks whole."""
-    harness.balancer._health = health.HealthTracker()
+    harness.balancer.known.health = health.HealthTracker()
     sock = harness.send_request(path)
     data = bytearray()
 
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_invalid_statuses.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_invalid_statuses.py
@@ -36,7 +36,7 @@
 
 def _ask(harness, path):
     """Return all that a caller gets, and whether it is reset."""
-    harness.balancer._health = health.HealthTracker()
+    harness.balancer.known.health = health.HealthTracker()
     return harness.read_to_end(harness.send_request(path))
 
 
@@ -62,7 +62,9 @@
     assert _list_statuses(data) == [b'200' if is_retryable else b'502']
     assert len(bad.requests) == 1
     assert len(good.requests) == is_retryable
-    assert not harness.balancer._health.is_healthy('t0', harness.clock.now())
+    assert not harness.balancer.known.health.is_healthy(
+        't0', harness.clock.now()
+    )
 
 
 @pytest.mark.parametrize('status', STATUSES)
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_task.py
@@ -242,4 +242,6 @@
     assert not was_reset
     counts = [data.count(b'id: %d\n' % number) for number in range(1, 10)]
     assert counts == [1] * 9
-    assert not harness.balancer._health.is_healthy('t0', harness.reactor.now())
+    assert not harness.balancer.known.health.is_healthy(
+        't0', harness.reactor.now()
+    )
--- a/tests/permit_fleet.py
+++ b/tests/permit_fleet.py
@@ -9,6 +9,7 @@
 import itertools
 import random
 
+from bambooring.balancing import messages as balancing_messages
 from bambooring.balancing import permits
 from bambooring.balancing import state as balancing
 from bambooring.policy import messages as policy
@@ -160,7 +161,10 @@
 
     def _dispatch(self):
         while self.queued:
-            choice = self.balancer.choose('llm', self.fleet.clock.now())
+            choice = self.balancer.choose(
+                balancing_messages.TargetQuery(service='llm'),
+                self.fleet.clock.now(),
+            )
             if choice is None:
                 return
             self.queued -= 1
