Split the entry instance by what it follows

Ruled out: moving the lease as well; it reads the policy, the evacuations and the links, and the move would only pass them around.

Log events and their fields are the same; the logger's name isn't logged.

--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -1,6 +1,5 @@
 """Run an entry instance that sends requests to targets itself."""
 
-import collections.abc
 import functools
 import random
 import typing
@@ -15,30 +14,29 @@
 from bambooring.evacuation import messages as evacuation
 from bambooring.evacuation import task as evacuation_task
 from bambooring.forwarding import dialect as dialect_module
-from bambooring.forwarding import messages as forwarding_messages
 from bambooring.forwarding import task as forwarding
+from bambooring.gateway import announcements
 from bambooring.gateway import beliefs
 from bambooring.gateway import const
 from bambooring.gateway import messages as gateway
 from bambooring.gateway import permits as permits_task
+from bambooring.gateway import servers
+from bambooring.gateway import stops
+from bambooring.gateway import topologies
 from bambooring.loads import exchange as exchange_module
 from bambooring.loads import task as loads_task
-from bambooring import metrics
 from bambooring.policy import errors as policy_errors
 from bambooring.policy import lease as lease_module
 from bambooring.policy import messages as policy
 from bambooring.policy import state as policy_state
 from bambooring.routing import budget as budget_module
 from bambooring.targets import messages as targets
-from bambooring.targets import state as targets_state
 from bambooring_core import clock as clock_module
 from bambooring_core import const as core_const
 from bambooring_core import decoding
 from bambooring_core import errors as core_errors
 from bambooring_core.http1 import client
-from bambooring_core.http1 import const as http1_const
 from bambooring_core.http1 import memory
-from bambooring_core.http1 import messages as http1
 from bambooring_core.http1 import server as http1_server
 from bambooring_core import identity as identity_module
 from bambooring_core import links
@@ -76,7 +74,6 @@
         self._lease = lease_module.Lease(
             settings.revoke_s * const.LEASE_DURATION_SHARE
         )
-        self._registry = targets_state.Registry(settings.heartbeat_s)
         self._balancer = balancing.Balancer(
             settings.failure_domain,
             rng,
@@ -151,39 +148,43 @@
             key=settings.link_key,
             handler=self,
         )
-        self._topologies: dict[links.Link, targets.Topology] = {}
-        # The failure domain of each other entry instance, by link address.
-        self._peer_domains: dict[str, str] = {}
+        self._announcements = announcements.AnnouncementReceiver(
+            heartbeat_s=settings.heartbeat_s,
+            reactor=reactor,
+            hub=self._hub,
+            balancer=self._balancer,
+            dispatcher=self.forwarder.dispatcher,
+        )
+        self._topologies = topologies.TopologyReceiver(
+            own_address=settings.link_address,
+            seeds=settings.seeds,
+            hub=self._hub,
+            load_reporter=self._load_reporter,
+            balancer=self._balancer,
+            set_retry_budget=self._set_retry_budget,
+        )
         self._logged_limits: dict[str, float] = {}
-        self._is_stopping = False
-        self._finish_by_s = 0.0
         self._was_ready = False
         self._set_retry_budget(1)
-        self._caller_server = self._make_server(
-            settings.callers_address, self.forwarder.handle
-        )
-        self._ready_server = self._make_server(
-            settings.ready_address, self._respond_to_ready
+        self._caller_server = servers.make_server(
+            settings,
+            reactor=reactor,
+            address=settings.callers_address,
+            handle=self.forwarder.handle,
+            budget=self._memory_budget,
         )
-
-    def _make_server(
-        self, address: str, handle: http1_server.RequestHandler
-    ) -> http1_server.Server:
-        return http1_server.Server(
-            reactor=self._reactor,
-            address=address,
-            limits=http1.Limits(
-                max_header_bytes=http1_const.MAX_HEADER_BYTES,
-                max_body_bytes=http1_const.MAX_BODY_BYTES,
-                header_timeout_s=http1_const.HEADER_TIMEOUT_S,
-                idle_timeout_s=http1_const.IDLE_TIMEOUT_S,
-            ),
-            handle=handle,
-            count_refused=_count_unreadable,
+        self._ready_server = servers.make_server(
+            settings,
+            reactor=reactor,
+            address=settings.ready_address,
+            handle=self._respond_to_ready,
             budget=self._memory_budget,
-            max_descriptors=memory.get_callers_descriptors(
-                self._settings.max_descriptors
-            ),
+        )
+        self._stop = stops.GracefulStop(
+            stop_s=settings.stop_s,
+            reactor=reactor,
+            forwarder=self.forwarder,
+            server=self._caller_server,
         )
 
     def run(self) -> None:
@@ -212,7 +213,9 @@
         self._reactor.call_every(
             const.LEASE_REQUEST_INTERVAL_S, self._request_lease
         )
-        self._reactor.call_every(const.EXPIRY_INTERVAL_S, self._expire_targets)
+        self._reactor.call_every(
+            const.EXPIRY_INTERVAL_S, self._announcements.expire
+        )
         self._reactor.call_every(
             balancing_const.LIMIT_ADJUST_INTERVAL_S, self._adjust_limits
         )
@@ -226,7 +229,7 @@
     def is_ready(self) -> bool:
         """Return whether callers should send requests to this instance."""
         return (
-            not self._is_stopping
+            not self._stop.is_begun
             and self.forwarder.policy_table is not None
             and self._lease.is_valid(self._lease_clock.now())
         )
@@ -239,7 +242,7 @@
             LOG.info(
                 'readiness changed',
                 is_ready=is_ready,
-                is_stopping=self._is_stopping,
+                is_stopping=self._stop.is_begun,
                 has_policy=self.forwarder.policy_table is not None,
                 has_lease=lease_age_s < self._lease.duration_s,
             )
@@ -279,7 +282,7 @@
 
     def handle_link_down(self, link: links.Link) -> None:
         """Drop the topology that came from a lost control replica."""
-        self._topologies.pop(link, None)
+        self._topologies.remove(link)
         self._send_status()
         remaining = len(self._hub.get_links(core_const.ROLE_CONTROL))
         LOG.info('control replica lost', peer=link.name, left=remaining)
@@ -294,13 +297,13 @@
             case evacuation.Evacuations():
                 self._evacuations.apply(message, link.name)
             case targets.Announced():
-                self._apply_announced(link, message)
+                self._announcements.apply(link, message)
             case targets.GroupPaces():
                 self._apply_slowdowns(message)
             case crashes.CrashNews():
                 self._crash_guard.merge(message, link.name)
             case targets.Topology():
-                self._apply_topology(link, message)
+                self._topologies.apply(link, message)
             case _:
                 LOG.warning('message ignored', kind=type(message).__name__)
 
@@ -333,12 +336,7 @@
             return
         self.forwarder.policy_table = policy_state.PolicyTable(decoded)
         self._permit_requester.set_services(decoded.services)
-        self._caller_server.limits = http1.Limits(
-            max_header_bytes=decoded.limits.max_header_bytes,
-            max_body_bytes=decoded.limits.max_body_bytes,
-            header_timeout_s=decoded.limits.header_timeout_s,
-            idle_timeout_s=decoded.limits.idle_timeout_s,
-        )
+        self._caller_server.limits = servers.make_limits(decoded.limits)
         LOG.info(
             'policy in force',
             version=message.version,
@@ -389,85 +387,6 @@
         if not was_valid and self._lease.is_valid(self._lease_clock.now()):
             LOG.info('lease regained', version=table.version)
 
-    def _apply_announced(
-        self, link: links.Link, message: targets.Announced
-    ) -> None:
-        now_s = self._reactor.now()
-        changed = []
-        for target in message.targets:
-            result = self._registry.apply_announcement(target, now_s)
-            if result is targets_state.AnnouncementResult.CHANGED:
-                changed.append(target)
-        for target_id in message.refreshed:
-            self._registry.refresh(target_id, now_s)
-        for target in changed:
-            self._balancer.cold.record_announcement(target, now_s)
-            LOG.info(
-                'target known',
-                target=target.id,
-                service=target.service,
-                address=target.address,
-                state=target.state,
-                born=target.born_ms,
-                sequence=target.sequence,
-                is_void=target.is_void,
-                cold_ms=target.cold_ms,
-                source=link.name,
-            )
-        if changed:
-            self._update_targets()
-        if message.confirmation:
-            link.send(
-                targets.AnnouncedReply(confirmation=message.confirmation)
-            )
-
-    def _update_targets(self) -> None:
-        self._balancer.set_targets(self._registry.list_usable())
-        self.forwarder.dispatcher.dispatch_queued()
-
-    def _expire_targets(self) -> None:
-        now_s = self._reactor.now()
-        # Without a control replica no heartbeat can arrive, so that their
-        # absence says nothing of the targets.
-        if not self._hub.get_links(core_const.ROLE_CONTROL):
-            self._registry.renew_all(now_s)
-            return
-        expired = list(self._registry.expire(now_s))
-        for target in expired:
-            LOG.info('target silent', target=target.id, service=target.service)
-        if expired:
-            self._update_targets()
-
-    def _apply_topology(
-        self, link: links.Link, topology: targets.Topology
-    ) -> None:
-        """Merge the topologies of all linked control replicas and apply them.
-
-        They determine the other entry instances that get load reports, this
-        instance's share of the retries, and the control replicas to link to.
-        """
-        self._topologies[link] = topology
-        entries: dict[str, str] = {}
-        controls = set(self._settings.seeds)
-        for replica_topology in self._topologies.values():
-            for address, domain in _list_entries(replica_topology):
-                entries[address] = domain or entries.get(address, '')
-            controls.update(replica_topology.controls)
-        entries.pop(self._settings.link_address, None)
-        if entries != self._peer_domains:
-            self._peer_domains = entries
-            self._load_reporter.set_instances(entries)
-            self._balancer.set_instances(entries)
-        self._set_retry_budget(len(entries) + 1)
-        linked = {
-            peer.dialled_address
-            for peer in self._hub.get_links(core_const.ROLE_CONTROL)
-        }
-        for address in controls:
-            self._hub.keep_connected(address)
-        for address in self._hub.get_dialled_addresses() - controls - linked:
-            self._hub.disconnect(address)
-
     def _set_retry_budget(self, instance_count: int) -> None:
         """Set the retry budget to this instance's share of the total.
 
@@ -535,66 +454,4 @@
         self._reactor.post(self._leave)
 
     def _leave(self) -> None:
-        if self._is_stopping:
-            return
-        self._is_stopping = True
-        self._caller_server.is_closing = True
-        now_s = self._reactor.now()
-        running_s = self._settings.stop_s - const.STOP_RESERVE_S
-        self._finish_by_s = (
-            now_s + self._settings.stop_s - const.STOP_KILL_MARGIN_S
-        )
-        LOG.info('stopping', running=self.forwarder.pending_count)
-        self.forwarder.dispatcher.plan_stop(
-            forwarding_messages.PlannedStop(
-                accept_until_s=now_s + const.STOP_ACCEPT_S,
-                end_s=now_s + running_s,
-            )
-        )
-        self._reactor.call_later(
-            const.STOP_ACCEPT_S, lambda: self._stop_when_closed()
-        )
-        self._reactor.call_later(running_s, self._stop_now)
-
-    def _stop_when_closed(self) -> None:
-        self._caller_server.close_idle(const.STOP_IDLE_TIMEOUT_S)
-        if self._caller_server.stop_accepting():
-            self._reactor.finish()
-            return
-        self._reactor.call_later(
-            const.STOP_IDLE_TIMEOUT_S / 2, self._stop_when_closed
-        )
-
-    def _stop_now(self) -> None:
-        """Answer the requests that still run, then end.
-
-        Requests that arrive until then are refused.
-        """
-        self.forwarder.stop_all()
-        self._reactor.call_later(const.STOP_LINGER_S, self._finish)
-
-    def _finish(self) -> None:
-        """End once all responses are sent, or shortly before being killed."""
-        if (
-            self._caller_server.has_unsent_output
-            and self._reactor.now() < self._finish_by_s
-        ):
-            self._reactor.call_later(const.STOP_LINGER_S, self._finish)
-            return
-        self._reactor.finish()
-
-
-def _list_entries(
-    topology: targets.Topology,
-) -> collections.abc.Iterator[tuple[str, str]]:
-    """Yield the address and the failure domain of each entry instance.
-
-    The domain is '' if the topology comes from an older replica.
-    """
-    domains = topology.entry_domains or [''] * len(topology.entries)
-    yield from zip(topology.entries, domains)
-
-
-def _count_unreadable(reason: str) -> None:
-    metrics.REFUSALS.labels(reason=reason, outcome='unread').inc()
-    LOG.info('request unreadable', reason=reason)
+        self._stop.begin()
