Count cold targets as room where the order of service counts

All targets were cold; the order lets a request ask for a slot only if there is room, room counted only targets with a permit, and permits are requested only when a request asks. Change: the room counts cold targets whose agent answers, with the slots that permits can keep busy. Result: the test of a caller at a cold target fails before with two routes of different priority, and passes after; balancing and forwarding pass.

--- a/packages/bambooring/src/bambooring/balancing/candidates.py
+++ b/packages/bambooring/src/bambooring/balancing/candidates.py
@@ -13,13 +13,36 @@
     now_s: float,
     excluded_ids: collections.abc.Container[str] = frozenset(),
     allowed_domains: domains_module.Domains = None,
+) -> list[targets.Target]:
+    """Return the targets that may get a request now.
+
+    These are the available ones but for cold targets that need a permit.
+
+    :param known: what this instance knows
+    :param service: the service's name
+    :param now_s: the current time in seconds
+    :param excluded_ids: the ids of targets to leave out
+    :param allowed_domains: the failure domains whose targets count
+    """
+    available = list_available(
+        known, service, now_s, excluded_ids, allowed_domains
+    )
+    return known.cold.withhold(service, available, now_s)
+
+
+def list_available(
+    known: knowledge.Knowledge,
+    service: str,
+    now_s: float,
+    excluded_ids: collections.abc.Container[str] = frozenset(),
+    allowed_domains: domains_module.Domains = None,
 ) -> list[targets.Target]:
     """Return the healthy targets, or all targets if none is healthy.
 
-    Ejecting all targets of a service would leave its callers without
-    any answer, and the cause of the failures may be on this instance's
-    side. Targets that are excluded, busy, rest or are cold and need a
-    permit are left out either way.
+    Ejecting all targets of a service would leave its callers without any
+    answer, and the cause of the failures may be on this instance's side.
+    Targets that are excluded, busy or rest are left out either way. Cold ones
+    may need a permit.
 
     :param known: what this instance knows
     :param service: the service's name
@@ -37,7 +60,7 @@
         and may_send(target, now_s)
     ]
     healthy = list(filter_healthy(known, available, now_s))
-    return known.cold.withhold(service, healthy or available, now_s)
+    return healthy or available
 
 
 def filter_healthy(
--- a/packages/bambooring/src/bambooring/balancing/capacity.py
+++ b/packages/bambooring/src/bambooring/balancing/capacity.py
@@ -58,6 +58,9 @@
 ) -> messages.Room:
     """Return how much more a service's usable targets may run.
 
+    Cold targets count, although they need a permit: an instance asks for one
+    only when it has found that there is room.
+
     :param known: what this instance knows
     :param service: the service's name
     :param now_s: the current time in seconds
@@ -70,8 +73,13 @@
         free=0, near_free=0, has_near=False, slots=0.0, running=0
     )
     count_running = known.running.count_running
-    for target in candidates.list_candidates(known, service, now_s):
-        slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+    duration_s = known.durations.get_s(service)
+    for target in candidates.list_available(known, service, now_s):
+        if not known.cold.is_reachable(target):
+            continue
+        slots = known.cold.limit_slots(
+            target, target.slots or const.DEFAULT_SLOTS_PER_TARGET, duration_s
+        )
         limit_per_target = (
             limit.get_max_requests(target.id) if limit else math.inf
         )
--- a/tests/test_cold_service.py
+++ b/tests/test_cold_service.py
@@ -1,9 +1,12 @@
 """Serve a caller by a cold target, with the real entry instance and agent."""
 
 import contextlib
+import dataclasses
 import socket
 from unittest import mock
 
+import pytest
+
 from bambooring.forwarding.tests import harness as harness_module
 from bambooring.gateway import entry as entry_module
 from bambooring.gateway import messages as gateway
@@ -16,9 +19,13 @@
 from bambooring_core.permits import const as permits_const
 from bambooring_core import reactor as reactor_module
 
+READ_ROUTE = harness_module.make_route('read', policy.RouteKind.IDEMPOTENT)
+LESS_URGENT_ROUTE = harness_module.make_route(
+    'review', policy.RouteKind.IDEMPOTENT, priority=1
+)
 POLICY = policy.Policy(
     version=1,
-    routes=[harness_module.make_route('read', policy.RouteKind.IDEMPOTENT)],
+    routes=[READ_ROUTE],
     services=[
         policy.Service(
             name='app', max_connections=0, slots=5, cold_requests_per_s=23.0
@@ -37,9 +44,12 @@
 class _Dialect(harness_module.Dialect):
     """Know one policy."""
 
+    def __init__(self, routes):
+        self._policy = dataclasses.replace(POLICY, routes=routes)
+
     def read_policy(self, document):
         """Return the policy."""
-        return POLICY
+        return self._policy
 
 
 def _make_settings(agent_port):
@@ -59,8 +69,13 @@
     )
 
 
-# Nothing connected policies and announcements with permits.
-def test_caller_is_served_by_a_cold_target():
+# Nothing connected policies and announcements with permits. Where the order of
+# service counts, no permits were requested after the loss of all power: only
+# targets with a permit counted as room, and without room nobody asked.
+@pytest.mark.parametrize(
+    'routes', [[READ_ROUTE], [READ_ROUTE, LESS_URGENT_ROUTE]]
+)
+def test_caller_is_served_by_a_cold_target(routes):
     """Once the agent grants permits; before that the request waits."""
     agent_clock = clock_module.ManualClock(1000.0)
     served = []
@@ -94,7 +109,7 @@
         entry = entry_module.GatewayEntry(
             _make_settings(issuer.port),
             reactor=reactor,
-            dialect=_Dialect(),
+            dialect=_Dialect(routes),
             incarnation=1,
         )
         for part in (
