Restore the strict plays of a standstill and of returning callers

Cause: the play of a standstill had been eased from 0.85 to 0.6 of the capacity and to the mean of all routes, and that of returning callers to a peak of 1 s, after both had been seen to fail.

Change: the strict plays stand beside the easier ones. Returning callers are compared with new ones of the same time twice: with the first attempts of these, and with all their attempts.

--- a/packages/bambooring/src/bambooring/forwarding/tests/test_order_of_service.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_order_of_service.py
@@ -109,6 +109,47 @@
     assert len(served) / len(returning) >= new_share - SERVED_LEAD
 
 
+def _play_long_peak():
+    """Play a peak of 3 s; return who came back, and who was new then."""
+    fleet = fleet_module.Fleet(routes=ROUTES)
+    fleet.add_load('usual', ROUTES[1], 30.0, 0.0, 16.0)
+    fleet.add_load('peak', ROUTES[1], 100.0, 6.0, 9.0)
+    fleet.clock.run_until(26.0)
+    returning = [item for item in fleet.callers if item.returned_s >= 0]
+    first_s = min(item.returned_s for item in returning)
+    last_s = max(item.returned_s for item in returning)
+    new = [
+        item for item in fleet.callers if first_s <= item.arrived_s <= last_s
+    ]
+    return returning, new
+
+
+def _compute_served_share(callers):
+    served = [item for item in callers if item.first_byte_s is not None]
+    return len(served) / len(callers)
+
+
+def test_returning_callers_go_before_new_ones():
+    """Pattern: a peak of 3 s, during which refused callers come back.
+
+    If new callers went first, those that come back would be refused a second
+    time and lost. The attempts of both are compared.
+    """
+    returning, new = _play_long_peak()
+    at_once = [item for item in new if not item.refusals]
+    assert _compute_served_share(returning) >= len(at_once) / len(new)
+
+
+def test_returning_callers_are_served_as_often_as_new_ones():
+    """Pattern: a peak of 3 s, during which refused callers come back.
+
+    As above, but a new caller that is refused counts as served if its own
+    second attempt is.
+    """
+    returning, new = _play_long_peak()
+    assert _compute_served_share(returning) >= _compute_served_share(new)
+
+
 def test_account_with_most_of_the_load():
     """Pattern: one account has 0.9 of the load, four others the rest.
 
@@ -169,6 +210,25 @@
     assert sum(on_time) >= 0.9 * len(on_time)
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_standstill_under_heavy_load(seed):
+    """Pattern: the group stands for 5 s at 0.85 of the capacity.
+
+    The backlog would be served first and make new callers late. From 2 s
+    after the end on those of each route are on time again.
+    """
+    fleet = fleet_module.Fleet(routes=ROUTES, seed=seed)
+    for route in ROUTES:
+        fleet.add_load(str(route.priority), route, 17.0, 0.0, 20.0)
+    fleet.clock.run_until(5.0)
+    fleet.set_group(epoch=1, is_open=False)
+    fleet.clock.run_until(10.0)
+    fleet.set_group(epoch=2, is_open=True)
+    fleet.clock.run_until(30.0)
+    results = fleet.summarize(12.0, 14.0)
+    assert min(item.on_time for item in results.values()) >= 0.8
+
+
 def test_free_slots_are_left_to_urgent_requests_elsewhere():
     """Pattern: a slot is free, a more urgent request waits elsewhere.
 
