Let requests that can be on time go before the backlog of an outage

Cause: after a standstill at 0.85 of the capacity the least urgent callers weren't on time again within 2 s: the late requests of more urgent callers went before them, and until 2.7 s after the end those come back that were told to in the outage, and those refused after it for another 2 s.

Change: for 2.5 s after the recovery, and during it, late requests of services with an order go after all that can be on time, also as counted at other instances, and then leave 0.15 of the slots. Services without an order do what they did.

Holding back from 1.0 to 1.75 s after the end only: about the same result with more rules.

--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -110,6 +110,14 @@
 # After an outage, requests that will be late leave this share of the slots to
 # those that can be on time.
 RECOVERY_ON_TIME_SHARE: typing.Final = 0.5
+# Where the order counts, late requests go after all that can be on time for
+# this long after the recovery: until those come back that were refused in it.
+BACKLOG_S: typing.Final = 2.5
+# They leave this share of the slots, about the usual variation of the load.
+BACKLOG_ON_TIME_SHARE: typing.Final = 0.15
+# What is added to the urgency of such requests, so that they go after most
+# others also at other instances.
+BACKLOG_URGENCY_STEP: typing.Final = 5
 
 # The waiting time that one step of priority counts for in the queue order.
 ACCOUNT_PRIORITY_STEP_S: typing.Final = 0.3
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -60,8 +60,9 @@
 
     def count_queued_by_urgency(self) -> dict[str, list[int]]:
         """Return how many requests of each urgency are queued, by service."""
+        now_s = self._reactor.now()
         return {
-            name: self.order.count_by_urgency(queue)
+            name: self.order.count_by_urgency(queue, now_s)
             for name, queue in self._queues.items()
             if any(pending.standing is not None for pending in queue)
         }
--- a/packages/bambooring/src/bambooring/forwarding/ordering.py
+++ b/packages/bambooring/src/bambooring/forwarding/ordering.py
@@ -87,6 +87,25 @@
     )
 
 
+def compute_backlog_key(standing: Standing) -> OrderedKey:
+    """Return the sort key of a late request after an outage.
+
+    It goes after all that can be on time, and starved or not it makes no
+    other one late.
+
+    :param standing: the request
+    """
+    return (
+        True,
+        True,
+        standing.urgency + const.BACKLOG_URGENCY_STEP,
+        not standing.is_size_underserved,
+        True,
+        not standing.is_returning,
+        standing.deadline_s,
+    )
+
+
 def make_standing(
     *,
     urgency: int,
--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -68,6 +68,8 @@
         self._states: dict[str, _ServiceState] = {}
         self._rooms: dict[str, balancing.Room] = {}
         self._rooms_valid_until_s = 0.0
+        # By service: until when the backlog of an outage is due.
+        self._backlog_until_s: dict[str, float] = {}
 
     def _get_state(self, service: str) -> _ServiceState:
         state = self._states.get(service)
@@ -83,12 +85,41 @@
     ) -> ordering.OrderedKey:
         """Return the sort key of a request in its queue."""
         self._update_shares(standing, request.service, now_s)
+        if self._is_held_back(request, standing, now_s):
+            return ordering.compute_backlog_key(standing)
         return ordering.compute_ordered_key(
             standing,
             is_response_started=request.progress.is_response_started,
             now_s=now_s,
         )
 
+    def _is_backlog_due(self, service: str, now_s: float) -> bool:
+        """Return whether those refused in an outage still come back.
+
+        They were told to do so within a third of their time.
+        """
+        if self._balancer.is_recovering(service):
+            self._backlog_until_s[service] = now_s + const.BACKLOG_S
+            return True
+        return now_s < self._backlog_until_s.get(service, 0.0)
+
+    def _is_held_back(
+        self,
+        request: protocols.OrderedRequest,
+        standing: ordering.Standing,
+        now_s: float,
+    ) -> bool:
+        """Return whether a late request lets all go first that can be on time.
+
+        So it does after an outage: the backlog of the more urgent ones alone
+        would make the new less urgent ones late.
+        """
+        return (
+            not request.progress.is_response_started
+            and standing.is_late(now_s)
+            and self._is_backlog_due(request.service, now_s)
+        )
+
     def _update_shares(
         self, standing: ordering.Standing, service: str, now_s: float
     ) -> None:
@@ -144,7 +175,8 @@
         weight = const.DISPATCH_EWMA_WEIGHT
         for index, share in enumerate(shares):
             shares[index] = share * (1 - weight)
-        shares[2 * standing.urgency + standing.is_late(now_s)] += weight
+        exchange_urgency = self.get_exchange_urgency(request, now_s)
+        shares[2 * exchange_urgency + standing.is_late(now_s)] += weight
         metrics.DISPATCH_WAIT_S.labels(urgency=standing.urgency).observe(
             now_s - request.admitted_s
         )
@@ -166,7 +198,9 @@
             filter(None, keys), is_served=is_served, now_s=now_s
         )
 
-    def get_exchange_urgency(self, request: protocols.OrderedRequest) -> int:
+    def get_exchange_urgency(
+        self, request: protocols.OrderedRequest, now_s: float
+    ) -> int:
         """Return the urgency that other instances leave slots for.
 
         Without this a class that is starved would stay so while any more
@@ -177,15 +211,22 @@
             return urgency.LEAST_URGENT
         if request.progress.is_response_started or standing.is_underserved:
             return 0
+        if self._is_held_back(request, standing, now_s):
+            return min(
+                standing.urgency + const.BACKLOG_URGENCY_STEP,
+                urgency.LEAST_URGENT,
+            )
         return standing.urgency
 
     def count_by_urgency(
-        self, requests: collections.abc.Iterable[protocols.OrderedRequest]
+        self,
+        requests: collections.abc.Iterable[protocols.OrderedRequest],
+        now_s: float,
     ) -> list[int]:
         """Return how many waiting requests there are of each urgency."""
         counts = [0] * urgency.CLASS_COUNT
         for request in requests:
-            counts[self.get_exchange_urgency(request)] += 1
+            counts[self.get_exchange_urgency(request, now_s)] += 1
         return counts
 
     def may_take_slot(
@@ -211,7 +252,7 @@
             return True
         state = self._get_state(request.service)
         counts = self._balancer.loads.count_waiting_by_urgency(request.service)
-        own_urgency = self.get_exchange_urgency(request)
+        own_urgency = self.get_exchange_urgency(request, now_s)
         before = sum(counts[:own_urgency])
         if not before:
             state.held = None
@@ -231,7 +272,7 @@
             state,
             free=max(1, free - before),
             own=sum(
-                self.get_exchange_urgency(queued) == own_urgency
+                self.get_exchange_urgency(queued, now_s) == own_urgency
                 for queued in queue
                 if queued is not request
             )
@@ -254,7 +295,9 @@
         far_counts = self._balancer.loads.count_waiting_far(request.service)
         if far_counts is None:
             return False
-        far_waiting = sum(far_counts[: self.get_exchange_urgency(request) + 1])
+        far_waiting = sum(
+            far_counts[: self.get_exchange_urgency(request, now_s) + 1]
+        )
         room = self._measure_room(request.service, now_s)
         return (
             room.has_near
@@ -342,12 +385,25 @@
         All that waited come at once and will be late. If they took all slots,
         those that arrive in the next seconds would be late too.
         """
-        if not self._balancer.is_recovering(request.service):
-            return True
-        if not is_late(request, now_s):
+        share = self._get_on_time_share(request, now_s)
+        if not share:
             return True
         room = self._measure_room(request.service, now_s)
-        return room.free > const.RECOVERY_ON_TIME_SHARE * room.slots
+        return room.free > share * room.slots
+
+    def _get_on_time_share(
+        self, request: protocols.OrderedRequest, now_s: float
+    ) -> float:
+        """Return the share of the slots that a request leaves to others."""
+        if not is_late(request, now_s):
+            return 0.0
+        if self._balancer.is_recovering(request.service):
+            return const.RECOVERY_ON_TIME_SHARE
+        if request.standing is not None and self._is_backlog_due(
+            request.service, now_s
+        ):
+            return const.BACKLOG_ON_TIME_SHARE
+        return 0.0
 
     def _measure_room(self, service: str, now_s: float) -> balancing.Room:
         """Return the room at the targets, measured a moment ago at most.
@@ -382,15 +438,13 @@
         """
         service = request.service
         counts = self._balancer.loads.count_waiting_by_urgency(service)
-        exchange_urgency = self.get_exchange_urgency(request)
+        exchange_urgency = self.get_exchange_urgency(request, now_s)
         # Of those that are equal about half came first.
         ahead_elsewhere = (
             sum(counts[:exchange_urgency]) + counts[exchange_urgency] / 2
         )
         room = self._measure_room(service, now_s)
-        slots = room.slots
-        if self._balancer.is_recovering(service) and is_late(request, now_s):
-            slots *= 1 - const.RECOVERY_ON_TIME_SHARE
+        slots = room.slots * (1 - self._get_on_time_share(request, now_s))
         shares = self._get_state(service).dispatch_shares
         verdict = admission.decide(
             admission.Outlook(
