Let the backlog of a lost lease go last, as that of a group's outage

Change: an instance whose lease is regained puts late requests of ordered services last for as long as after an outage of a group. Result: a test without a network; forwarding, gateway and balancing pass.

--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -70,6 +70,8 @@
         self._rooms_valid_until_s = 0.0
         # By service: until when the backlog of an outage is due.
         self._backlog_until_s: dict[str, float] = {}
+        # The same for outages of this instance, which refused all requests.
+        self._own_backlog_until_s = 0.0
 
     def _get_state(self, service: str) -> _ServiceState:
         state = self._states.get(service)
@@ -101,7 +103,13 @@
         if self._balancer.is_recovering(service):
             self._backlog_until_s[service] = now_s + const.BACKLOG_S
             return True
-        return now_s < self._backlog_until_s.get(service, 0.0)
+        return now_s < max(
+            self._backlog_until_s.get(service, 0.0), self._own_backlog_until_s
+        )
+
+    def record_outage_end(self, now_s: float) -> None:
+        """Record that this instance admits requests again after an outage."""
+        self._own_backlog_until_s = now_s + const.BACKLOG_S
 
     def _is_held_back(
         self,
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_ordering.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_ordering.py
@@ -1,13 +1,18 @@
 """Test the order of service, and who is told to come back."""
 
+import random
+import types
+
 import pytest
 
 from bambooring.balancing import const as balancing_const
 from bambooring.balancing import limit
+from bambooring.balancing import state as balancing
 from bambooring.forwarding import admission
 from bambooring.forwarding import arrivals
 from bambooring.forwarding import const
 from bambooring.forwarding import ordering
+from bambooring.forwarding import service_order
 
 
 def _compute_key(*, is_started=False, now_s=10.0, **changes):
@@ -154,3 +159,40 @@
 def test_limit_recovers_slowly_with_longer_gaps():
     """Fast growth would make the gaps of all streams too long."""
     assert _count_recovery_intervals(0.07) >= 12
+
+
+def test_backlog_of_a_lost_lease_goes_last():
+    """Callers that were refused without a lease don't make new ones late.
+
+    Pattern: all instances lose the control group, and their callers come back
+    in the seconds after it is found again.
+    """
+    order = service_order.ServiceOrder(
+        balancing.Balancer('a', random.Random(1)),
+        lambda: None,
+        random.Random(1),
+    )
+    order.record_outage_end(10.0)
+    urgent_late, on_time = (
+        ordering.Standing(
+            urgency=urgency,
+            is_returning=urgency == 0,
+            first_received_s=first_received_s,
+            objective_s=0.4,
+            deadline_s=18.0,
+            route_key='r',
+            account_key='a',
+        )
+        for urgency, first_received_s in ((0, 7.0), (2, 10.0))
+    )
+    request = types.SimpleNamespace(
+        service='llm',
+        progress=types.SimpleNamespace(is_response_started=False),
+    )
+
+    def compute_key(standing, now_s):
+        return order.compute_key(standing, request, now_s)
+
+    assert compute_key(on_time, 10.0) < compute_key(urgent_late, 10.0)
+    end_s = 10.0 + const.BACKLOG_S
+    assert compute_key(urgent_late, end_s) < compute_key(on_time, end_s)
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -386,6 +386,9 @@
             )
         if not was_valid and self._lease.is_valid(self._lease_clock.now()):
             LOG.info('lease regained', version=table.version)
+            self.forwarder.dispatcher.order.record_outage_end(
+                self._reactor.now()
+            )
 
     def _set_retry_budget(self, instance_count: int) -> None:
         """Set the retry budget to this instance's share of the total.
