Bound the memory for bodies that a native entry instance reads

Cause: each thread read one body, up to max_body_bytes, and nothing bounded all of them. The reader of the HTTP library allocated the whole length for each read of the socket and joined the parts into a copy. After a crowd, glibc's arenas (up to 8 a core) kept what had been freed, and the request, its environment and the connection stayed until the next garbage collection, as they referred to themselves.

Change: the setting memory_mb of an entry instance (0, the default: no limit). With it, bodies share one MemoryBudget under a lock (bambooring_core.uploads): a large body reserves twice its size before it is read, or as it grows in chunks, until its response has ended. Without room, uploads that stood still for 1 s give way, else it is refused: 503, Retry-After, outcome not_run, and the caller may go on sending while it reads that. Bodies up to 64 KiB, and a body that is alone, are always admitted. Large bodies are parsed one at a time. The allocator is told to map large blocks and to use two arenas. Large bodies are read into one buffer, and the two cycles of references are gone, limit or not.

Ruled out: a leak. After a collection and malloc_trim 66 MB were left.

Weighed: MALLOC_ARENA_MAX in the environment needs the operators to set it; gc.collect() after each crowd stops all threads.

--- a/packages/bambooring/src/bambooring/callers/const.py
+++ b/packages/bambooring/src/bambooring/callers/const.py
@@ -17,8 +17,12 @@
 HTTP_1_0_BUFFERED_LIMIT_BYTES: typing.Final = 4 * 1024 * 1024
 # A caller that leaves more than this unread is too slow.
 SEND_BUFFER_LIMIT_BYTES: typing.Final = 4 * 1024 * 1024
+# How long a caller should wait whose large body found no memory.
+MEMORY_RETRY_AFTER_S: typing.Final = 1.0
 DISCONNECT_CHECK_INTERVAL_S: typing.Final = 0.25
 BODY_READ_BYTES: typing.Final = 64 * 1024
+# Larger bodies are parsed one at a time.
+SMALL_BODY_BYTES: typing.Final = 64 * 1024
 # Retry-After is lengthened by up to this share of itself, at random.
 RETRY_AFTER_JITTER: typing.Final = 1.0
 
--- a/packages/bambooring/src/bambooring/callers/task.py
+++ b/packages/bambooring/src/bambooring/callers/task.py
@@ -5,10 +5,12 @@
 
 import collections.abc
 import contextlib
+import io
 import itertools
 import queue
 import random
 import secrets
+import threading
 import time
 import typing
 
@@ -40,6 +42,7 @@
         self._max_body_bytes = max_body_bytes
         self._call_ids = itertools.count(1)
         self._rng = random.Random()
+        self._large_body_lock = threading.Lock()
 
     def __call__(
         self, environ: dict, start_response: typing.Any
@@ -69,8 +72,9 @@
         body = responses.make_error_body(
             status, reason, failure.outcome, request_id
         )
+        retry_after_s = const.MEMORY_RETRY_AFTER_S if status == 503 else 0.0
         headers = responses.make_error_headers(
-            reason, failure.outcome, request_id, 0.0, self._rng
+            reason, failure.outcome, request_id, retry_after_s, self._rng
         )
         return body, headers
 
@@ -99,7 +103,9 @@
         if refusal_reason is not None:
             raise errors.RequestRefusedError(503, refusal_reason, 1.0)
         view = self._backend.get_view()
-        request = Request(environ)
+        # Without a reference from the environment to the request, both are
+        # freed with the response, not by the next garbage collection.
+        request = Request(environ, populate_request=False)
         account = state.find_account(
             request.headers.get('Authorization', ''), view
         )
@@ -111,7 +117,8 @@
             headers=list(request.headers),
             body=self._read_body(environ),
         )
-        call = state.make_call(parsed_request, account, view)
+        with self._limit_parsing(parsed_request.body):
+            call = state.make_call(parsed_request, account, view)
         is_http_1_0 = environ.get('SERVER_PROTOCOL') == 'HTTP/1.0'
         if is_http_1_0 and call.service.is_chat:
             raise errors.RequestRefusedError(
@@ -119,6 +126,17 @@
             )
         return call
 
+    def _limit_parsing(
+        self, body: bytes
+    ) -> contextlib.AbstractContextManager[typing.Any]:
+        """Return a context in which one large body is parsed at a time.
+
+        While it is parsed, a body takes several times its size.
+        """
+        if len(body) <= const.SMALL_BODY_BYTES:
+            return contextlib.nullcontext()
+        return self._large_body_lock
+
     def _read_body(self, environ: dict) -> bytes:
         stream = environ['wsgi.input']
         is_chunked = environ.get('wsgi.input_terminated', False)
@@ -136,21 +154,19 @@
         return body
 
     def _read_chunked(self, stream: typing.Any) -> bytes:
-        parts = []
-        size = 0
+        body = io.BytesIO()
         try:
             while part := stream.read(const.BODY_READ_BYTES):
-                size += len(part)
-                if size > self._max_body_bytes:
+                body.write(part)
+                if body.tell() > self._max_body_bytes:
                     raise errors.RequestRefusedError(
                         413, const.REASON_TOO_LARGE
                     )
-                parts.append(part)
         except (ValueError, EOFError) as error:
             raise errors.RequestRefusedError(
                 400, const.REASON_INCOMPLETE_BODY
             ) from error
-        return b''.join(parts)
+        return body.getvalue()
 
 
 def _get_raw_path(environ: dict) -> str:
--- a/packages/bambooring/src/bambooring/const.py
+++ b/packages/bambooring/src/bambooring/const.py
@@ -14,6 +14,7 @@
 CONF_LOG_LEVEL: typing.Final = 'log_level'
 CONF_MAX_BODY_BYTES: typing.Final = 'max_body_bytes'
 CONF_MAX_RUNNING: typing.Final = 'max_running'
+CONF_MEMORY_MB: typing.Final = 'memory_mb'
 CONF_OPERATORS: typing.Final = 'operators'
 CONF_OPERATOR_KEYS: typing.Final = 'operator_key_digests'
 CONF_PEERS: typing.Final = 'peers'
@@ -24,9 +25,12 @@
 DEFAULT_LEAVE_GRACE_S: typing.Final = 5.0
 DEFAULT_MAX_BODY_BYTES: typing.Final = 4 * 1024 * 1024
 DEFAULT_MAX_RUNNING: typing.Final = 320
+# Without a limit.
+DEFAULT_MEMORY_MB: typing.Final = 0
 
 # Threads beyond max_running, for the requests over it that are refused.
 REFUSAL_THREADS: typing.Final = 32
 OPERATOR_THREADS: typing.Final = 4
+BYTES_PER_MB: typing.Final = 1024 * 1024
 REPORT_INTERVAL_S: typing.Final = 1.0
 TICK_INTERVAL_S: typing.Final = 0.05
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -37,14 +37,17 @@
 from bambooring.replication import messages as replication
 from bambooring.replication import proposer as proposer_module
 from bambooring.routing import state as routing_state
+from bambooring_core import allocator
 from bambooring_core import codec
 from bambooring_core import const as core_const
 from bambooring_core.dispatch import messages as wire
 from bambooring_core import http
+from bambooring_core.http1 import memory
 from bambooring_core import identity as identity_module
 from bambooring_core import links
 from bambooring_core import operations
 from bambooring_core import reactor as reactor_module
+from bambooring_core import uploads
 
 LOG = structlog.get_logger(__name__)
 
@@ -131,6 +134,7 @@
         listen = self._settings[const.CONF_LISTEN]
         max_body_bytes = self._settings[const.CONF_MAX_BODY_BYTES]
         application = callers_task.Application(self, max_body_bytes)
+        body_uploads = self._make_uploads()
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._hub)
             stack.enter_context(
@@ -150,6 +154,7 @@
                     + const.REFUSAL_THREADS,
                     max_body_bytes=max_body_bytes,
                     make_error=application.make_unreadable_request_error,
+                    uploads=body_uploads,
                 )
             )
             self.set_up()
@@ -157,6 +162,15 @@
             self._reactor.run()
         LOG.info('entry instance stopped')
 
+    def _make_uploads(self) -> uploads.Uploads | None:
+        memory_mb = self._settings[const.CONF_MEMORY_MB]
+        if not memory_mb:
+            return None
+        allocator.limit_retained_memory()
+        return uploads.Uploads(
+            memory.make_budget(memory_mb * const.BYTES_PER_MB)
+        )
+
     def set_up(self) -> None:
         """Start to link to the control replicas and schedule periodic work."""
         for address in self._settings[const.CONF_CONTROL]:
--- a/packages/bambooring/src/bambooring/schema.py
+++ b/packages/bambooring/src/bambooring/schema.py
@@ -44,6 +44,9 @@
         vol.Optional(
             const.CONF_MAX_BODY_BYTES, default=const.DEFAULT_MAX_BODY_BYTES
         ): _POSITIVE_INT,
+        vol.Optional(
+            const.CONF_MEMORY_MB, default=const.DEFAULT_MEMORY_MB
+        ): vol.All(int, vol.Range(min=0)),
         vol.Optional(
             const.CONF_LEAVE_GRACE_S, default=const.DEFAULT_LEAVE_GRACE_S
         ): vol.All(vol.Coerce(float), vol.Range(min=0, max=600)),
--- a/packages/core/src/bambooring_core/errors.py
+++ b/packages/core/src/bambooring_core/errors.py
@@ -32,6 +32,10 @@
     """A response is aborted on purpose, so that it can't look complete."""
 
 
+class MemoryShortError(BambooringError):
+    """A large request body is refused, since memory is short."""
+
+
 class HandshakeError(BambooringError):
     """A handshake failed.
 
--- a/packages/core/src/bambooring_core/http.py
+++ b/packages/core/src/bambooring_core/http.py
@@ -1,7 +1,9 @@
 """Serve WSGI applications over HTTP with cheroot."""
 
 import collections.abc
+import contextlib
 import http
+import io
 import json
 import select
 import socket
@@ -16,6 +18,8 @@
 import structlog
 
 from bambooring_core import errors
+from bambooring_core.http1 import const as http1_const
+from bambooring_core import uploads as uploads_module
 
 LOG = structlog.get_logger(__name__)
 
@@ -24,6 +28,7 @@
 SOCKET_TIMEOUT_S = 10
 REQUEST_READ_TIMEOUT_S = 10
 MAX_KEEP_ALIVE_CONNECTIONS = 2000
+READ_PART_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 32 * 1024
 
 WsgiApplication = collections.abc.Callable[..., typing.Any]
@@ -33,7 +38,8 @@
 def make_plain_error(status: int, reason: str) -> tuple[bytes, list]:
     """Return the JSON body and the extra headers of an error response."""
     body = json.dumps({'error': {'reason': reason, 'status': status}})
-    return body.encode(), []
+    headers = [('Retry-After', '1')] if status == 503 else []
+    return body.encode(), headers
 
 
 class _Request(cheroot.server.HTTPRequest):
@@ -45,6 +51,10 @@
             super().respond()
         except errors.ResponseAbortedError:
             self.close_connection = True
+        except errors.MemoryShortError:
+            self.close_connection = True
+            if not self.sent_headers:
+                self.simple_response('503 Service Unavailable')
 
     def simple_response(self, status, msg=''):
         """Send an error response and close the connection."""
@@ -78,6 +88,8 @@
         return 'uri_too_long'
     if status == 408:
         return 'too_slow'
+    if status == 503:
+        return 'memory'
     if status >= 500:
         return 'internal_error'
     return 'malformed_request'
@@ -94,12 +106,19 @@
         super().__init__(sock, mode)
         self._connection = sock
         self.deadline_s: float | None = None
+        self.upload: uploads_module.Upload | None = None
 
     def readinto(self, buffer):
         """Read some bytes.
 
         :raises TimeoutError: if the deadline has passed
         """
+        count = self._readinto_in_time(buffer)
+        if self.upload is not None:
+            self.upload.moved_s = time.monotonic()
+        return count
+
+    def _readinto_in_time(self, buffer):
         if self.deadline_s is None:
             return super().readinto(buffer)
         remaining_s = self.deadline_s - time.monotonic()
@@ -115,13 +134,52 @@
 
 
 class _Reader(cheroot.makefile.StreamReader):
-    """A buffered reader on a raw stream that has a deadline."""
+    """A buffered reader on a raw stream that has a deadline.
 
-    def __init__(self, raw):
+    The server reads heads and the framing of chunks by lines, and only bodies
+    by size.
+    """
+
+    def __init__(self, raw, uploads):
         # Skip the initializer of StreamReader, which would create a raw
         # stream without a deadline.
         super(cheroot.makefile.StreamReader, self).__init__(raw)
         self.bytes_read = 0
+        self._source = raw
+        self._uploads = uploads
+
+    def read(self, size=-1):
+        """Read a part of a body.
+
+        :raises MemoryShortError: if there is no memory for it
+        """
+        upload = self._source.upload
+        if upload is None:
+            return self._read_body(size)
+        self._uploads.begin_read(upload, max(0, size))
+        data = self._read_body(size)
+        self._uploads.end_read(upload)
+        return data
+
+    def _read_body(self, size):
+        """Read as many bytes, or up to the end of the input.
+
+        The parent allocates ``size`` bytes for each read of the raw stream,
+        and holds all bytes twice when it joins them.
+        """
+        if size <= READ_PART_BYTES:
+            return super().read(size)
+        buffered_bytes = len(self.peek(0))
+        body = io.BytesIO()
+        body.write(super().read(min(size, buffered_bytes)))
+        part = memoryview(bytearray(READ_PART_BYTES))
+        while (missing := size - body.tell()) > 0:
+            count = self._source.readinto(part[:missing])
+            if not count:
+                break
+            body.write(part[:count])
+            self.bytes_read += count
+        return body.getvalue()
 
 
 class _Connection(cheroot.server.HTTPConnection):
@@ -131,13 +189,39 @@
 
     def __init__(self, server, sock, makefile=cheroot.makefile.MakeFile):
         super().__init__(server, sock, makefile)
+        # The parent's caches of unused methods refer to the connection, which
+        # would keep it and its input until the next garbage collection.
+        del self.resolve_peer_creds
+        del self.get_peer_creds
         self._raw = _DeadlineIO(sock, 'rb')
-        self.rfile = _Reader(self._raw)
+        self.rfile = _Reader(self._raw, server.uploads)
 
     def communicate(self):
         """Read one request and respond to it."""
         self._raw.deadline_s = time.monotonic() + REQUEST_READ_TIMEOUT_S
-        return super().communicate()
+        uploads = self.server.uploads
+        if uploads is None:
+            return super().communicate()
+        with uploads.open(self.socket) as upload:
+            self._raw.upload = upload
+            is_kept_open = super().communicate()
+            self._raw.upload = None
+        if upload.is_refused:
+            self._drain()
+        return is_kept_open
+
+    def _drain(self):
+        """Drop what a refused caller still sends, so that it reads why.
+
+        A socket that is closed with unread input resets the connection.
+        """
+        end_s = time.monotonic() + http1_const.REFUSAL_LINGER_S
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(http1_const.STALL_S)
+            while time.monotonic() < end_s:
+                if not self.socket.recv(http1_const.READ_SIZE_BYTES):
+                    return
 
 
 class _Gateway(cheroot.wsgi.Gateway_10):
@@ -165,9 +249,11 @@
     """A WSGI server that logs with structlog.
 
     ``make_error`` makes the body and the extra headers of error responses.
+    ``uploads`` accounts for bodies, or is None if they have no common limit.
     """
 
     make_error: MakeErrorBody
+    uploads: uploads_module.Uploads | None
 
     def error_log(self, msg='', level=20, traceback=False):
         """Log an error or a message of the server."""
@@ -188,6 +274,7 @@
         threads: int,
         max_body_bytes: int,
         make_error: MakeErrorBody = make_plain_error,
+        uploads: uploads_module.Uploads | None = None,
     ) -> None:
         self._server = _Server(
             address,
@@ -201,6 +288,7 @@
         self._server.gateway = _Gateway
         self._server.ConnectionClass = _Connection
         self._server.make_error = make_error
+        self._server.uploads = uploads
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
         self._server.keep_alive_conn_limit = MAX_KEEP_ALIVE_CONNECTIONS
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -64,6 +64,7 @@
     :param token_interval_ms: time between two tokens of a simulated engine
     :param max_running: limit on running requests of each entry instance
     :param leave_grace_s: leave grace period of the entry instances
+    :param memory_mb: memory of each entry instance, 0 for no limit
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         token_interval_ms: float = 36.0,
         max_running: int = 320,
         leave_grace_s: float = 0.5,
+        memory_mb: int = 0,
     ) -> None:
         self.folder = folder
         self.domains = list(domains)
@@ -83,6 +85,7 @@
         self._token_interval_ms = token_interval_ms
         self._max_running = max_running
         self._leave_grace_s = leave_grace_s
+        self._memory_mb = memory_mb
         self._entries_per_domain = entries_per_domain
         self._replica_addresses: dict[str, str] = {}
         self._operators_addresses: dict[str, str] = {}
@@ -242,6 +245,7 @@
                 'peers': other_addresses,
                 'max_running': self._max_running,
                 'leave_grace_s': self._leave_grace_s,
+                'memory_mb': self._memory_mb,
             }
             path = self._write_settings(name, instance_settings)
             self._add_instance(name, path, caller_address, operators_address)
--- a/tests/test_entry_crowds.py
+++ b/tests/test_entry_crowds.py
@@ -79,7 +79,9 @@
 
 @contextlib.contextmanager
 def _run_cluster(folder):
-    with cluster_module.Cluster(folder, domains=(DOMAIN,)) as cluster:
+    with cluster_module.Cluster(
+        folder, domains=(DOMAIN,), memory_mb=MEMORY_MB
+    ) as cluster:
         cluster.add_control_instances(1)
         cluster.add_entry_instances()
         cluster.wait_leader()
@@ -160,6 +162,28 @@
         _check_limits(cluster)
 
 
+def test_crowds_that_come_again(tmp_path):
+    """Crowds follow each other.
+
+    Memory that the bodies of one crowd had used was kept by the allocator,
+    and the next crowd took more.
+    """
+    with _run_cluster(tmp_path) as cluster:
+        for make_request in 2 * FRAMINGS:
+            crowd_requests = [
+                make_request(MISSING_BYTES) for _ in range(FIRST_CROWD_SIZE)
+            ]
+            with _open_crowd(cluster, crowd_requests) as crowd:
+                assert crowd.wait_sent()
+                assert crowds.wait_until(lambda: _is_serving(cluster))
+            requests = [_make_whole(0) for _ in range(CROWD_SIZE)]
+            with _open_crowd(cluster, requests) as crowd:
+                assert crowd.wait_answered()
+                _check_refusals(crowd)
+        assert crowds.wait_until(lambda: _is_serving(cluster))
+        _check_limits(cluster)
+
+
 def test_large_request_alone(tmp_path):
     """A request of the full legal size is served when load is calm."""
     with _run_cluster(tmp_path) as cluster:
