Refuse large bodies at a gateway's metrics server

Cause: it allowed bodies of 4 MiB and has no budget.

Change: bodies over 64 KiB are refused with 413; a request for metrics has none.

Weighed: the budget of the process; it belongs to the role that the process plays, which the code that serves metrics does not know.

--- a/packages/core/src/bambooring_core/process.py
+++ b/packages/core/src/bambooring_core/process.py
@@ -199,7 +199,8 @@
         address=settings.metrics_address,
         limits=http1.Limits(
             max_header_bytes=http1_const.MAX_HEADER_BYTES,
-            max_body_bytes=http1_const.MAX_BODY_BYTES,
+            # Requests for metrics have no body.
+            max_body_bytes=http1_const.SMALL_BODY_BYTES,
             header_timeout_s=http1_const.HEADER_TIMEOUT_S,
             idle_timeout_s=http1_const.IDLE_TIMEOUT_S,
         ),
