Count running requests in one loop where room is measured

Cause: after the split measure_room called count_running of RunningRequests for each target, and script/measure order showed decide_us at 64 targets at 39.4 and 39.5 us, against 38.1 and 37.9 before the split.

Change: the loop looks up own and reported requests itself again, as before.

Ruled out: leaving it; 1.5 us of the 50 us that a decision may take.

--- a/packages/bambooring/src/bambooring/balancing/capacity.py
+++ b/packages/bambooring/src/bambooring/balancing/capacity.py
@@ -69,7 +69,10 @@
     room = messages.Room(
         free=0, near_free=0, has_near=False, slots=0.0, running=0
     )
-    count_running = known.running.count_running
+    # Inlines ``RunningRequests.count_running``: its calls would take 1.5 us of
+    # 40 us at 64 targets.
+    count_running = known.loads.count_running
+    own_loads = known.running.own_loads
     for target in candidates.list_candidates(known, service, now_s):
         slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
         limit_per_target = (
@@ -78,6 +81,8 @@
         room.slots += min(slots, limit_per_target)
         max_running = min(slots + extra_requests, limit_per_target)
         running = count_running(target.id)
+        if target.id in own_loads:
+            running += own_loads[target.id].running
         room.running += running
         is_near = target.failure_domain == known.failure_domain
         if running < max_running:
