--- a/packages/bambooring/src/bambooring/balancing/capacity.py
+++ b/packages/bambooring/src/bambooring/balancing/capacity.py
@@ -72,20 +72,26 @@
     room = messages.Room(
         free=0, near_free=0, has_near=False, slots=0.0, running=0
     )
-    count_running = known.running.count_running
+    # Inlines ``RunningRequests.count_running``: its calls would take 1.5 us of
+    # 40 us at 64 targets.
+    count_running = known.loads.count_running
+    own_loads = known.running.own_loads
     duration_s = known.durations.get_s(service)
+    has_cold = bool(known.cold.runs)
     for target in candidates.list_available(known, service, now_s):
-        if not known.cold.is_reachable(target):
-            continue
-        slots = known.cold.limit_slots(
-            target, target.slots or const.DEFAULT_SLOTS_PER_TARGET, duration_s
-        )
+        slots = target.slots or const.DEFAULT_SLOTS_PER_TARGET
+        if has_cold:
+            if not known.cold.is_reachable(target):
+                continue
+            slots = known.cold.limit_slots(target, slots, duration_s)
         limit_per_target = (
             limit.get_max_requests(target.id) if limit else math.inf
         )
         room.slots += min(slots, limit_per_target)
         max_running = min(slots + extra_requests, limit_per_target)
         running = count_running(target.id)
+        if target.id in own_loads:
+            running += own_loads[target.id].running
         room.running += running
         is_near = target.failure_domain == known.failure_domain
         if running < max_running:
