Play callers that leave answers of a native entry instance unread

Cause: what a caller of a native entry instance doesn't read is bounded for each caller (4 MiB); a smaller answer keeps its thread as long as the caller stays.

Ruled out: asking all at once.

--- a/tests/test_entry_crowds.py
+++ b/tests/test_entry_crowds.py
@@ -7,7 +7,10 @@
 """
 
 import contextlib
+import http.server
 import json
+import threading
+import time
 
 import pytest
 
@@ -17,6 +20,7 @@
 
 API_KEY = 'demo-key-rota-desk'
 SERVICE = 'rota-llm'
+HTTP_SERVICE = 'rota-app'
 DOMAIN = 'rajkot'
 ENTRY = 'entry-rajkot-1'
 # The memory and descriptors of an instance of the first deployment.
@@ -25,6 +29,10 @@
 CROWD_SIZE = 40
 FIRST_CROWD_SIZE = 200
 FULL_BYTES = 4 * crowds.BYTES_PER_MB
+# The account may have 60 requests at a time.
+READERS = 50
+READERS_INTERVAL_S = 0.4
+UNREAD_BYTES = FULL_BYTES - 64 * 1024
 # Callers stop this much before the end of their bodies.
 MISSING_BYTES = 1000
 PIECE_BYTES = 48 * 1024
@@ -106,9 +114,9 @@
     return _call(cluster, body).is_successful
 
 
-def _open_crowd(cluster, requests):
+def _open_crowd(cluster, requests, **options):
     host, _, port = cluster.processes[ENTRY].address.partition(':')
-    return crowds.Crowd((host, int(port)), requests)
+    return crowds.Crowd((host, int(port)), requests, **options)
 
 
 def _check_limits(cluster):
@@ -184,6 +192,78 @@
         _check_limits(cluster)
 
 
+class _LargeAnswers(http.server.BaseHTTPRequestHandler):
+    """Target whose answers are large, but not too large for one caller."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def do_GET(self):
+        """Answer the health check, or a request."""
+        size = 2 if self.path == '/health' else UNREAD_BYTES
+        self.send_response(200)
+        self.send_header('Content-Length', str(size))
+        self.end_headers()
+        self.wfile.write(bytes(size))
+
+    def log_message(self, *arguments):
+        """Log nothing."""
+
+
+@contextlib.contextmanager
+def _run_large_target(cluster):
+    with http.server.ThreadingHTTPServer(
+        ('127.0.0.1', 0), _LargeAnswers
+    ) as server:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        try:
+            cluster.add_target(
+                HTTP_SERVICE,
+                service=HTTP_SERVICE,
+                domain=DOMAIN,
+                protocol='http',
+                url=f'http://127.0.0.1:{server.server_port}',
+            )
+            cluster.wait_targets(2)
+            yield
+        finally:
+            server.shutdown()
+
+
+def test_callers_that_read_nothing(tmp_path):
+    """Callers ask for large answers, don't read them, and stay.
+
+    The thread of each, and what waited to be sent, were lost until its caller
+    left.
+    """
+    request = HEAD.replace(
+        b'POST /v1/chat/completions', b'GET /services/rota-app/slots'
+    )
+    pair = [[request + b'\r\n'] for _ in range(2)]
+    with _run_cluster(tmp_path) as cluster, _run_large_target(cluster):
+        address = cluster.processes[ENTRY].address
+        url = f'http://{address}/services/rota-app/slots'
+        assert crowds.wait_until(
+            lambda: len(caller.call(url, API_KEY).body) == UNREAD_BYTES
+        )
+        with contextlib.ExitStack() as stack:
+            # All at once, their answers keep the agent from its heartbeats.
+            for _ in range(READERS // 2):
+                crowd = _open_crowd(cluster, pair, is_reading=False)
+                stack.enter_context(crowd)
+                time.sleep(READERS_INTERVAL_S)
+            assert crowds.wait_until(lambda: _is_serving(cluster))
+            assert crowds.wait_until(lambda: _count_running(cluster) == 0)
+            _check_limits(cluster)
+        assert crowds.wait_until(lambda: _is_serving(cluster))
+        _check_limits(cluster)
+
+
+def _count_running(cluster):
+    """Return the number of requests that the entry instance serves."""
+    instances = cluster.get_client().get_status().get('instances', [])
+    return sum(instance['running'] for instance in instances)
+
+
 def test_large_request_alone(tmp_path):
     """A request of the full legal size is served when load is calm."""
     with _run_cluster(tmp_path) as cluster:
