Break off responses that callers of a native entry instance leave unread

Cause: the worker thread of a response waited without limit for a caller that reads nothing; what waited to be sent was bounded for each caller only.

Weighed: a limit of its own for each writer, which the number of callers multiplies.

--- a/packages/bambooring/src/bambooring/callers/body_writer.py
+++ b/packages/bambooring/src/bambooring/callers/body_writer.py
@@ -18,6 +18,7 @@
 from bambooring.dispatch import messages as dispatch
 from bambooring_core.dispatch import messages as wire
 from bambooring_core import http
+from bambooring_core.http1 import relief
 from bambooring_core import reactor as reactor_module
 
 EndQueue = queue.SimpleQueue[dispatch.Event]
@@ -37,6 +38,7 @@
         '_end_event',
         '_end_queue',
         '_is_event_stream',
+        '_moved_s',
         '_send_buffer',
         '_reactor',
         '_request_id',
@@ -62,6 +64,7 @@
         self._cancel = cancel
         self._send_buffer = bytearray()
         self._end_event: dispatch.Event | None = None
+        self._moved_s = reactor.now()
         self._watched_events = selectors.EVENT_READ
         reactor.watch(sock, self._watched_events, self._on_ready)
 
@@ -81,6 +84,20 @@
                 )
             self._finish(event)
 
+    def describe(self) -> relief.Holder['BodyWriter']:
+        """Return what the choice of a response to break off needs to know."""
+        return relief.Holder(
+            connection=self,
+            held_bytes=len(self._send_buffer),
+            stalled_s=self._reactor.now() - self._moved_s,
+            has_request=True,
+            has_output=bool(self._send_buffer),
+        )
+
+    def break_off(self) -> None:
+        """End a response whose caller leaves it unread."""
+        self._abort(const.REASON_CALLER_TOO_SLOW)
+
     def _write_chunk(self, data: bytes) -> None:
         """Write data as one chunk of the chunked coding."""
         if self._end_event is not None:
@@ -101,7 +118,9 @@
     def _send(self, data: bytes | bytearray) -> int:
         """Write what the socket takes now and return the number of bytes."""
         try:
-            return os.write(self._socket.fileno(), data)
+            sent_bytes = os.write(self._socket.fileno(), data)
+            self._moved_s = self._reactor.now()
+            return sent_bytes
         except BlockingIOError:
             return 0
         except OSError:
--- a/packages/bambooring/src/bambooring/entry.py
+++ b/packages/bambooring/src/bambooring/entry.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import queue
 import random
 import socket
@@ -20,6 +21,7 @@
 from bambooring.callers import const as callers_const
 from bambooring.callers import messages as callers
 from bambooring.callers import task as callers_task
+from bambooring.callers import unread
 from bambooring.configuration import local_store
 from bambooring.configuration import messages as configuration
 from bambooring.configuration import records
@@ -42,6 +44,7 @@
 from bambooring_core import const as core_const
 from bambooring_core.dispatch import messages as wire
 from bambooring_core import http
+from bambooring_core.http1 import const as http1_const
 from bambooring_core.http1 import memory
 from bambooring_core import identity as identity_module
 from bambooring_core import links
@@ -135,6 +138,11 @@
         max_body_bytes = self._settings[const.CONF_MAX_BODY_BYTES]
         application = callers_task.Application(self, max_body_bytes)
         body_uploads = self._make_uploads()
+        if body_uploads is not None:
+            self._reactor.call_every(
+                http1_const.RELIEF_INTERVAL_S,
+                functools.partial(self._break_off_unread, body_uploads),
+            )
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._hub)
             stack.enter_context(
@@ -171,6 +179,19 @@
             memory.make_budget(memory_mb * const.BYTES_PER_MB)
         )
 
+    def _break_off_unread(self, body_uploads: uploads.Uploads) -> None:
+        """Account for unread output, and break off what can't be kept."""
+        holders = [
+            sink.describe()
+            for sink in self._event_sinks.values()
+            if isinstance(sink, body_writer.BodyWriter)
+        ]
+        excess_bytes = body_uploads.hold_output(
+            sum(holder.held_bytes for holder in holders)
+        )
+        for holder in unread.choose_unread(holders, excess_bytes):
+            holder.connection.break_off()
+
     def set_up(self) -> None:
         """Start to link to the control replicas and schedule periodic work."""
         for address in self._settings[const.CONF_CONTROL]:
--- a/packages/core/src/bambooring_core/uploads.py
+++ b/packages/core/src/bambooring_core/uploads.py
@@ -34,6 +34,7 @@
         self._budget = budget
         self._lock = threading.Lock()
         self._uploads: set[Upload] = set()
+        self._output = memory.Reservation(budget)
         metrics.HELD_BYTES_LIMIT.set(budget.total_bytes)
 
     def open(self, sock: socket.socket) -> 'Upload':
@@ -73,6 +74,17 @@
             upload.reservation.close()
             metrics.HELD_BYTES.set(self._budget.used_bytes)
 
+    def hold_output(self, size: int) -> int:
+        """Account for all output that callers leave unread.
+
+        :param size: the bytes of it
+        :returns: what the process holds beyond its budget, 0 if nothing
+        """
+        with self._lock:
+            self._output.resize(size)
+            metrics.HELD_BYTES.set(self._budget.used_bytes)
+            return max(0, self._budget.used_bytes - self._budget.total_bytes)
+
     def _reserve(self, upload: 'Upload') -> None:
         reservation = upload.reservation
         needed_bytes = upload.body_bytes * _COPIES
