--- a/packages/bambooring/src/bambooring/balancing/limit.py
+++ b/packages/bambooring/src/bambooring/balancing/limit.py
@@ -88,18 +88,18 @@
         self,
         mean_gaps_s: list[float],
         slots: int,
-        busiest: float = math.inf,
+        mean_running: float = math.inf,
     ) -> None:
         """Lower the limit if the gaps are too long, raise it if short.
 
         Without any gaps the limit is raised too. It is lowered in proportion
-        to the excess, from what the busiest target runs: a limit above that
+        to the excess, from what the targets run on average: a limit above that
         changes nothing.
 
         :param mean_gaps_s: the mean gap that each instance with streams
             measured
         :param slots: the number of requests that a target can run at once
-        :param busiest: the number of requests that the busiest target runs
+        :param mean_running: how many requests the targets run on average
         """
         is_recovering = self.is_recovering
         self._recovery_intervals = max(0, self._recovery_intervals - 1)
@@ -110,7 +110,7 @@
         ratio = sum(mean_gaps_s) / len(mean_gaps_s) / self.accepted_gap_s
         if ratio > const.GAP_HIGH_RATIO:
             self._decrease(
-                ratio, min(self.max_requests, slots, busiest or math.inf)
+                ratio, min(self.max_requests, slots, mean_running or math.inf)
             )
         elif is_recovering and ratio < const.GAP_RECOVERY_RATIO:
             self._increase(slots, const.RECOVERY_GROWTH)
--- a/packages/bambooring/src/bambooring/balancing/limits.py
+++ b/packages/bambooring/src/bambooring/balancing/limits.py
@@ -60,14 +60,12 @@
                 ),
                 default=0,
             )
-            busiest = max(
-                (
-                    running.count_running(target_id)
-                    for target_id in targets_by_id
-                ),
-                default=0,
+            total = sum(map(running.count_running, targets_by_id))
+            limit.adjust(
+                [item for item in gaps_s if item],
+                slots,
+                mean_running=total / max(1, len(targets_by_id)),
             )
-            limit.adjust([item for item in gaps_s if item], slots, busiest)
         return {
             service: limit.max_requests
             for service, limit in self._by_service.items()
--- a/packages/bambooring/src/bambooring/balancing/tests/test_limit.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_limit.py
@@ -78,7 +78,7 @@
     for _ in range(const.LIMIT_SETTLING_INTERVALS):
         concurrency.add_gap(gap_s, ACCEPTED_GAP_S)
         concurrency.close_interval()
-        concurrency.adjust([gap_s], SLOTS, busiest=3)
+        concurrency.adjust([gap_s], SLOTS, mean_running=3.0)
     assert 2.7 < concurrency.max_requests < 3.0
 
 
