--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -12,6 +12,7 @@
 
 from bambooring.balancing import state as balancing
 from bambooring.forwarding import admission
+from bambooring.forwarding import backlog
 from bambooring.forwarding import const
 from bambooring.forwarding import fairness
 from bambooring.forwarding import ordering
@@ -68,10 +69,7 @@
         self._states: dict[str, _ServiceState] = {}
         self._rooms: dict[str, balancing.Room] = {}
         self._rooms_valid_until_s = 0.0
-        # By service: until when the backlog of an outage is due.
-        self._backlog_until_s: dict[str, float] = {}
-        # The same for outages of this instance, which refused all requests.
-        self._own_backlog_until_s = 0.0
+        self.backlog = backlog.Backlog(balancer)
 
     def _get_state(self, service: str) -> _ServiceState:
         state = self._states.get(service)
@@ -95,22 +93,6 @@
             now_s=now_s,
         )
 
-    def _is_backlog_due(self, service: str, now_s: float) -> bool:
-        """Return whether those refused in an outage still come back.
-
-        They were told to do so within a third of their time.
-        """
-        if self._balancer.is_recovering(service):
-            self._backlog_until_s[service] = now_s + const.BACKLOG_S
-            return True
-        return now_s < max(
-            self._backlog_until_s.get(service, 0.0), self._own_backlog_until_s
-        )
-
-    def record_outage_end(self, now_s: float) -> None:
-        """Record that this instance admits requests again after an outage."""
-        self._own_backlog_until_s = now_s + const.BACKLOG_S
-
     def _is_held_back(
         self,
         request: protocols.OrderedRequest,
@@ -125,7 +107,7 @@
         return (
             not request.progress.is_response_started
             and standing.is_late(now_s)
-            and self._is_backlog_due(request.service, now_s)
+            and self.backlog.is_due(request.service, now_s)
         )
 
     def _update_shares(
@@ -407,7 +389,7 @@
             return 0.0
         if self._balancer.is_recovering(request.service):
             return const.RECOVERY_ON_TIME_SHARE
-        if request.standing is not None and self._is_backlog_due(
+        if request.standing is not None and self.backlog.is_due(
             request.service, now_s
         ):
             return const.BACKLOG_ON_TIME_SHARE
--- a/packages/bambooring/src/bambooring/forwarding/tests/test_ordering.py
+++ b/packages/bambooring/src/bambooring/forwarding/tests/test_ordering.py
@@ -172,7 +172,7 @@
         lambda: None,
         random.Random(1),
     )
-    order.record_outage_end(10.0)
+    order.backlog.record_own_outage_end(10.0)
     urgent_late, on_time = (
         ordering.Standing(
             urgency=urgency,
--- a/packages/bambooring/src/bambooring/gateway/entry.py
+++ b/packages/bambooring/src/bambooring/gateway/entry.py
@@ -386,7 +386,7 @@
             )
         if not was_valid and self._lease.is_valid(self._lease_clock.now()):
             LOG.info('lease regained', version=table.version)
-            self.forwarder.dispatcher.order.record_outage_end(
+            self.forwarder.dispatcher.order.backlog.record_own_outage_end(
                 self._reactor.now()
             )
 
