Reword comments and notes that stop a first reader

Change: comments and docstrings name what they describe.

Weighed: renaming modules and fields with private words (beliefs, words), and removing the setting evacuation_s, which nothing reads. They are public names, so they are only reported.

--- a/measures/order.py
+++ b/measures/order.py
@@ -20,8 +20,8 @@
 LARGE_TARGET_COUNT = 660
 SLOTS = 5
 REPEATS = 400
-# Longer than the room at the targets is kept, so that each decision measures
-# it; all are made before the load reports expire.
+# Longer than the count of free slots is kept, so that each decision includes
+# a scan of the targets. All are made before the load reports expire.
 STEP_S = 0.003
 QUEUE_LENGTH = 8
 MAX_DECISION_US = 50.0
--- a/measures/spill.py
+++ b/measures/spill.py
@@ -17,7 +17,7 @@
 DOMAINS = 'abc'
 REQUESTS_PER_S = 27.5
 MAX_ADDED_US = 50.0
-# The best round counts: others on the machine only make it slower.
+# The fastest round counts: other processes on the machine only add time.
 ROUNDS = 200
 # By column: the settings of the balancer.
 VARIANTS = {
--- a/packages/agent/src/bambooring_agent/permits/state.py
+++ b/packages/agent/src/bambooring_agent/permits/state.py
@@ -77,6 +77,7 @@
         if count > 0:
             self._grants.append((now_s, count))
         else:
+            # Negative if a policy has lowered the limit.
             count = 0
             wait_s = self._get_wait_s(limit, now_s)
         return messages.PermitGrant(
@@ -120,7 +121,9 @@
 
     def _count_recent(self, now_s: float) -> int:
         since_s = now_s - permits_const.BURST_WINDOW_S
-        return sum(count for sent_s, count in self._grants if sent_s > since_s)
+        return sum(
+            count for granted_s, count in self._grants if granted_s > since_s
+        )
 
     def _get_wait_s(self, limit: int, now_s: float) -> float:
         """Return after how long the next permit can be granted."""
@@ -132,7 +135,11 @@
         if self._count_recent(now_s) >= _get_burst(limit):
             since_s = now_s - permits_const.BURST_WINDOW_S
             first_s = next(
-                (sent_s for sent_s, _ in self._grants if sent_s > since_s),
+                (
+                    granted_s
+                    for granted_s, _ in self._grants
+                    if granted_s > since_s
+                ),
                 now_s,
             )
             wait_s = first_s + permits_const.BURST_WINDOW_S - now_s
--- a/packages/bambooring/src/bambooring/evacuation/messages.py
+++ b/packages/bambooring/src/bambooring/evacuation/messages.py
@@ -30,8 +30,8 @@
     """The outcome of an order.
 
     REPEATED means that the failure domain was in that state already, REFUSED
-    that too many are evacuated, and SUPERSEDED that there was a change which
-    the order doesn't know of.
+    that too many are evacuated, and SUPERSEDED that there was a change after
+    the revision of the order.
     """
 
     CHANGED = 'changed'
--- a/packages/bambooring/src/bambooring/gateway/beliefs.py
+++ b/packages/bambooring/src/bambooring/gateway/beliefs.py
@@ -1,4 +1,4 @@
-"""Log and count what an entry instance decides by others' reports."""
+"""Log and count decisions that rest on the reports of other instances."""
 
 import collections.abc
 
@@ -14,7 +14,7 @@
 def log_health_changes(
     changes: collections.abc.Iterable[peer_health_module.HealthChange],
 ) -> None:
-    """Log the targets that others' word has ejected or let return."""
+    """Log the targets that others' reports have ejected or let return."""
     for change in changes:
         effect = 'ejected' if change.is_ejected else 'returned'
         metrics.PEER_EJECTIONS.labels(effect=effect).inc()
@@ -30,7 +30,7 @@
 
 
 def log_share_changes(spill: spill_module.Spill | None) -> None:
-    """Log which services send another share to other failure domains."""
+    """Log the services whose share for other failure domains has changed."""
     if spill is None:
         return
     for change in spill.take_changes():
--- a/packages/bambooring/src/bambooring/gateway/calls.py
+++ b/packages/bambooring/src/bambooring/gateway/calls.py
@@ -58,8 +58,8 @@
         """Handle a call of an operator.
 
         :param exchange: how to answer it
-        :param call: the call; one that isn't an operator's is answered as
-            unknown
+        :param call: the call; any other than an operator's is answered with
+            404
         """
         match call:
             case dialect_module.PublishPolicyCall():
@@ -182,7 +182,7 @@
         if ordered is None:
             respond(exchange, 503, 'no majority in time')
         elif ordered.outcome is evacuation.Outcome.SUPERSEDED:
-            # Its caller still waits, so that it is the latest word.
+            # Its caller still waits, so it hasn't been given up.
             latest_order = dataclasses.replace(
                 order, revision=ordered.revision
             )
--- a/packages/bambooring/src/bambooring/gateway/const.py
+++ b/packages/bambooring/src/bambooring/gateway/const.py
@@ -66,6 +66,8 @@
 # How often an entry instance logs which targets became cold or warm, one line
 # each at most, and counts what became of the permits it asked for.
 PERMIT_LOG_INTERVAL_S: typing.Final = 0.25
-# All entry instances and agents link to each control replica: 144 links at the
-# first deployment, beside 1,535 descriptors.
+
+# Share of a control replica's descriptors that is for links. All entry
+# instances, agents and other replicas link to it: 144 links at a deployment
+# with 72 entry instances, 67 targets and a limit of 1,535 descriptors.
 LINKS_DESCRIPTORS_SHARE: typing.Final = 0.5
--- a/packages/bambooring/src/bambooring/targets/const.py
+++ b/packages/bambooring/src/bambooring/targets/const.py
@@ -11,6 +11,7 @@
 # an earlier run can't bring back a target that is gone.
 RECORD_RETENTION_S: typing.Final = 120.0
 
-# The end of a target's cold time, as computed from its announcements, varies
-# with their time under way. A later end by no more than this is no change.
+# The end of a target's cold time is computed from the arrival of its
+# announcements, so it varies with their delays. An end that is later by no
+# more than this is no change.
 COLD_TOLERANCE_S: typing.Final = 0.25
--- a/packages/bambooring/src/bambooring/targets/state.py
+++ b/packages/bambooring/src/bambooring/targets/state.py
@@ -400,9 +400,9 @@
 
 
 def _is_unchanged(target: messages.Target, known: messages.Target) -> bool:
-    """Return whether two announcements differ in what changes always.
+    """Return whether two announcements differ in no lasting property.
 
-    These are their sequence, and how long the target is still cold.
+    Their sequences, and how long the target is still cold, may differ.
     """
     return (
         dataclasses.replace(
--- a/packages/core/src/bambooring_core/http1/client.py
+++ b/packages/core/src/bambooring_core/http1/client.py
@@ -78,7 +78,8 @@
         self.is_open = True
         # Whether any byte of the request may have been sent.
         self.may_have_sent = False
-        # If set, is asked just before the first byte is written.
+        # If set, it is called just before the first byte is written; if it
+        # returns False, nothing is sent and the call fails.
         self.may_write: collections.abc.Callable[[], bool] | None = None
 
     def send(
--- a/packages/core/src/bambooring_core/http1/connection.py
+++ b/packages/core/src/bambooring_core/http1/connection.py
@@ -250,7 +250,7 @@
         self._account()
 
     def describe(self, now_s: float) -> relief.Holder['Connection']:
-        """Return what closing this connection would release."""
+        """Return what the choice of connections to close depends on."""
         return relief.Holder(
             connection=self,
             held_bytes=self._held_bytes,
--- a/packages/core/src/bambooring_core/http1/const.py
+++ b/packages/core/src/bambooring_core/http1/const.py
@@ -29,6 +29,7 @@
 
 LISTEN_BACKLOG: typing.Final = 1024
 
+# The highest status of HTTP.
 MAX_STATUS: typing.Final = 599
 
 # No content and not modified.
--- a/packages/core/src/bambooring_core/http1/errors.py
+++ b/packages/core/src/bambooring_core/http1/errors.py
@@ -12,7 +12,8 @@
 class Failure(enum.StrEnum):
     """The reason why a call to a server has no complete response.
 
-    NOT_WRITTEN means that the caller of the client forbade it once connected.
+    NOT_WRITTEN means that ``Call.may_write`` returned False once connected, so
+    that nothing was sent.
     """
 
     CONNECT = 'connect_failed'
--- a/packages/core/src/bambooring_core/http1/exchange.py
+++ b/packages/core/src/bambooring_core/http1/exchange.py
@@ -1,4 +1,4 @@
-"""Describe one request of a caller and the response to it."""
+"""Let request handlers respond to a caller's request."""
 
 import collections.abc
 import typing
--- a/packages/core/src/bambooring_core/http1/server.py
+++ b/packages/core/src/bambooring_core/http1/server.py
@@ -22,7 +22,7 @@
 
 LOG = structlog.get_logger(__name__)
 
-# Handlers name the type by the module of the server that calls them.
+# Modules with request handlers refer to the type as ``server.Exchange``.
 Exchange = exchange_module.Exchange
 
 RequestHandler = collections.abc.Callable[[Exchange], None]
@@ -96,9 +96,7 @@
     @property
     def active_request_count(self) -> int:
         """The number of requests being handled."""
-        return sum(
-            connection.has_active_request for connection in self._connections
-        )
+        return self._active_count
 
     @property
     def has_connections(self) -> bool:
@@ -265,7 +263,7 @@
 
     def _sweep(self) -> None:
         now = self.reactor.now()
-        # A caller that reads nothing for so long is given up too.
+        # Also closes those whose callers have read nothing for this long.
         for connection in self._list_idle(self.limits.idle_timeout_s):
             connection.close()
         for connection in list(self._connections):
--- a/proofs/evacuation.py
+++ b/proofs/evacuation.py
@@ -29,8 +29,8 @@
 class EvacuationProof(scenario.Scenario):
     """Order evacuations, and check where requests run.
 
-    ``evacuated_since_s`` has the times at which orders were acknowledged, by
-    failure domain. ``disturbed_s`` is the time of the last fault that may
+    ``evacuated_since_s`` is when the order for each evacuated failure domain
+    was acknowledged. ``disturbed_s`` is the time of the last fault that may
     keep an entry instance from the control replicas, ``submitted_s`` has the
     times at which requests were sent, by request id.
     """
--- a/tests/test_cold_service.py
+++ b/tests/test_cold_service.py
@@ -59,9 +59,12 @@
     )
 
 
-# Nothing connected policies and announcements with permits.
 def test_caller_is_served_by_a_cold_target():
-    """Once the agent grants permits; before that the request waits."""
+    """Once the agent grants permits; before that the request waits.
+
+    Guards against an instance that doesn't pass the limits of its policy and
+    the announced cold times on to the requester of permits.
+    """
     agent_clock = clock_module.ManualClock(1000.0)
     served = []
 
