--- a/tests/test_cold_service.py
+++ b/tests/test_cold_service.py
@@ -69,14 +69,16 @@
     )
 
 
-# Nothing connected policies and announcements with permits. Where the order of
-# service counts, no permits were requested after the loss of all power: only
-# targets with a permit counted as room, and without room nobody asked.
 @pytest.mark.parametrize(
     'routes', [[READ_ROUTE], [READ_ROUTE, LESS_URGENT_ROUTE]]
 )
 def test_caller_is_served_by_a_cold_target(routes):
-    """Once the agent grants permits; before that the request waits."""
+    """Once the agent grants permits; before that the request waits.
+
+    Guards against an instance that doesn't pass the limits of its policy and
+    the announced cold times on to the requester of permits, and against one
+    that never asks since only targets with a permit count as room.
+    """
     agent_clock = clock_module.ManualClock(1000.0)
     served = []
 
