Clarify comments and docstrings of balancing and forwarding

Cause: read as a newcomer, several docstrings left out fields or said less than the code does, and some comments used figurative words or told how a constant was tuned.

Change: comments and docstrings only, except: `Dispatcher._estimate_wait` loses an argument that its request has anyway, the local variables `home` of `spill`, `waiting` of `peers` (it hid the module of that name) and `liars` of a test get other names, an unneeded import goes, and `QUANTILES` names `USUAL_TIME_SHARE`, which was found there only because `LARGEST_FROM_SHARE` has the same value.

No tests and no mypy were run.

--- a/packages/bambooring/src/bambooring/balancing/const.py
+++ b/packages/bambooring/src/bambooring/balancing/const.py
@@ -103,8 +103,8 @@
 # An instance that knew a target as warm has sent requests without permits. It
 # asks for permits once these don't count any more: after the second for which
 # the limit holds, and the 0.4 s that connecting and sending may take. If a
-# response said that the target is cold, the other instances go on until the
-# next heartbeat tells them, up to so much later.
+# response said that the target is cold, the other instances learn it only from
+# the next heartbeat, up to the news delay later.
 COLD_AGAIN_DELAY_S: typing.Final = 1.4
 COLD_NEWS_DELAY_S: typing.Final = 1.2
 
@@ -128,11 +128,13 @@
 
 # Runs that take no new work are forgotten if more runs than this are known.
 COLD_RUNS_MAX: typing.Final = 4096
+
 # A target is ejected by others' word if this many other instances suspect it.
 MIN_SUSPECTING_INSTANCES: typing.Final = 2
 
 # A target that refuses this many requests of an instance in a row though it
-# has room is suspected. One may have been full with what wasn't reported yet.
+# has room is suspected. A single refusal may come from load that the others
+# haven't reported yet.
 IDLE_REFUSALS_THRESHOLD: typing.Final = 3
 
 # How long after its last failure a target is suspected without a complete
@@ -141,7 +143,7 @@
 SUSPICION_TTL_S: typing.Final = 6.0
 
 # How long others' word against a target counts for nothing after it completed
-# a response. Longer than load reports live.
+# a response. Longer than the TTL of load reports.
 SOUND_RETENTION_S: typing.Final = 2.0
 
 # What is added to the load per slot of a target that returns, as if all its
@@ -153,8 +155,8 @@
 # Changes of ejections by others' word that are kept until they are logged.
 MAX_HEALTH_CHANGES: typing.Final = 64
 
-# The assumed delay between two failure domains of a region, one way. Those of
-# the known deployments are 1.4 and 0.5 ms; it isn't measured.
+# The one-way delay between two failure domains of a region. It is assumed, not
+# measured at run time: the longest one in the known deployments.
 DOMAIN_DELAY_S: typing.Final = 0.0014
 
 # How often the share of a service that leaves a failure domain is computed,
@@ -170,6 +172,7 @@
 
 # A share is logged when it has changed by this much.
 MATERIAL_SHARE_CHANGE: typing.Final = 0.1
+# Changes of shares that are kept until they are logged.
 MAX_SHARE_CHANGES: typing.Final = 32
 
 # Weight of the newest sample in the mean duration and size of requests.
@@ -177,9 +180,11 @@
 # A failure domain counts as slow if its requests take this much longer.
 MIN_SLOWNESS: typing.Final = 1.5
 
-# The load per slot from which on each further request waits for a whole one.
+# Above this load per slot the wait for a slot grows linearly: each further
+# request per slot adds the duration of one request.
 SATURATED_LOAD: typing.Final = 0.95
-# Halvings of an interval, to below a thousandth of a request per slot.
+# Bisection steps by which the load per slot that a failure domain keeps is
+# found, to below a thousandth of a request per slot.
 LEVEL_STEPS: typing.Final = 14
 
 # A request that costs more than the mean by this factor leaves only if its own
--- a/packages/bambooring/src/bambooring/balancing/health.py
+++ b/packages/bambooring/src/bambooring/balancing/health.py
@@ -1,4 +1,7 @@
-"""Track which targets this instance has seen fail or refuse requests."""
+"""Track which targets this instance has seen fail or refuse requests.
+
+What other instances report is kept in ``bambooring.balancing.peer_health``.
+"""
 
 import collections.abc
 import dataclasses
--- a/packages/bambooring/src/bambooring/balancing/limit.py
+++ b/packages/bambooring/src/bambooring/balancing/limit.py
@@ -99,7 +99,8 @@
         :param mean_gaps_s: the mean gap that each instance with streams
             measured
         :param slots: the number of requests that a target can run at once
-        :param busiest: the number of requests that the busiest target runs
+        :param busiest: the number of requests that the busiest target runs, 0
+            if none is known to run any
         """
         is_recovering = self.is_recovering
         self._recovery_intervals = max(0, self._recovery_intervals - 1)
@@ -118,7 +119,7 @@
             self._increase(slots)
 
     def _decrease(self, ratio: float, used: float) -> None:
-        """Lower the limit, and leave it so until that shows in the gaps.
+        """Lower the limit, and keep it until the gaps reflect it.
 
         :param ratio: the ratio of the mean gap to the accepted one
         :param used: the part of the limit that is in use
--- a/packages/bambooring/src/bambooring/balancing/peer_health.py
+++ b/packages/bambooring/src/bambooring/balancing/peer_health.py
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class HealthChange:
-    """A run of a target that others' word has ejected or let return.
+    """A run of a target that was ejected by others' word, or has returned.
 
     ``words`` is the number of other instances that suspect it,
     ``report_age_s`` the age of the oldest report of suspicions.
@@ -80,6 +80,7 @@
     ) -> None:
         self._own_address = own_address
         self._table = table
+        # The version of the table that was decided by, -1 to decide anew.
         self._table_version = -1
         self._now_s = 0.0
         self._runs: dict[runs_module.Run, targets.Target] = {}
@@ -89,6 +90,7 @@
         self._withdrawn_until_s: dict[runs_module.Run, float] = {}
         # Until when others' word against a run counts for nothing.
         self._sound_until_s: dict[runs_module.Run, float] = {}
+        # How many other instances suspect each run.
         self._words: collections.Counter[runs_module.Run] = (
             collections.Counter()
         )
@@ -96,11 +98,12 @@
         self._suspected_since_s: dict[runs_module.Run, float] = {}
         # Since when a run has been ejected by others' word.
         self._ejected_since_s: dict[runs_module.Run, float] = {}
+        # Whether this instance is a prober of a run; cached.
         self._probers: dict[runs_module.Run, bool] = {}
         # From when on the penalty of a run decays.
         self._returned_s: dict[runs_module.Run, float] = {}
         self._changes: list[HealthChange] = []
-        # Targets that are ejected or have a penalty; all others need no look.
+        # Targets that are ejected or have a penalty; the others need no check.
         self.affected_ids: frozenset[str] = frozenset()
 
     def set_targets(
@@ -142,7 +145,8 @@
     def forget_service(self, service: str) -> None:
         """Drop what is suspected of a service whose group has reopened.
 
-        What its ranks failed while the group was broken says nothing of them.
+        Requests that failed while the group was broken say nothing about its
+        ranks.
         """
         for run, target in self._runs.items():
             if target.service == service:
@@ -177,7 +181,7 @@
     ) -> None:
         """Record a complete response; one to a later request is a withdrawal.
 
-        A target in trouble may still finish what it had begun before.
+        A failing target may still complete requests that it began before.
 
         :param target: the target
         :param sent_s: when the request was sent, in seconds
@@ -217,7 +221,8 @@
         self._table_version = self._table.version
         for run in self._table.list_sound() & self._runs.keys():
             own = self._own.get(run)
-            # What this instance has seen since the last news weighs more.
+            # A failure that this instance saw lately may be newer than the
+            # withdrawal.
             if own is None or own.last_s < now_s - const.EJECTION_MIN_S:
                 self._own.pop(run, None)
             self._sound_until_s[run] = now_s + const.SOUND_RETENTION_S
@@ -242,7 +247,7 @@
                 del self._returned_s[run]
 
     def _decide(self) -> set[runs_module.Run]:
-        """Return the runs that others' word ejects."""
+        """Return the runs that are ejected by others' word."""
         suspected_by_service: dict[str, list[runs_module.Run]] = {}
         for run, words in self._words.items():
             if (
--- a/packages/bambooring/src/bambooring/balancing/permit_types.py
+++ b/packages/bambooring/src/bambooring/balancing/permit_types.py
@@ -12,10 +12,12 @@
     """A run of a target that is cold until ``until_s``.
 
     ``stated_s`` is when a response of the target last said that it is cold.
-    No permits are requested before ``ask_from_s``. ``awaited_sequence`` is
-    the request that has no answer yet, 0 for none; ``unanswered_count`` is
-    how many in a row had none. ``permit_ends_s`` are the times at which the
-    held permits expire, in rising order.
+    No permits are requested before ``ask_from_s``, and they were last
+    requested at ``asked_s``. ``awaited_sequence`` is the sequence number of
+    the request that has no answer yet, 0 for none; ``unanswered_count`` is how
+    many requests in a row had none. ``permit_ends_s`` are the times at which
+    the held permits expire, in rising order and of the permits' clock; all
+    other times are the reactor's.
     """
 
     target: targets.Target
--- a/packages/bambooring/src/bambooring/balancing/permits.py
+++ b/packages/bambooring/src/bambooring/balancing/permits.py
@@ -56,7 +56,7 @@
 
 
 class ColdTargets:
-    """Know the cold targets, and hold the permits of this instance.
+    """Track the cold targets and the permits that this instance holds.
 
     ``runs`` are the cold runs of targets, also of services without a limit.
     ``on_demand`` is called when a request could use a permit; it is None if
@@ -76,7 +76,8 @@
         self.runs: dict[runs_module.Run, permit_types.ColdRun] = {}
         self._warm_runs: set[runs_module.Run] = set()
         self._next_end_s = math.inf
-        # What the last call of ``withhold`` left out and may be asked for.
+        # The targets that the last call of ``withhold`` left out and whose
+        # agents may be asked for permits now.
         self._withheld: list[targets.Target] = []
         self._demands: dict[str, permit_types.Demand] = {}
         self._asks: dict[int, permit_types.Ask] = {}
@@ -241,8 +242,8 @@
     def draw_withheld(self, rng: random.Random) -> list[targets.Target]:
         """Return some withheld targets that may be asked for permits.
 
-        Those in this instance's failure domain come first. A few are enough,
-        and comparing all of them would cost as much as another choice.
+        Those in this instance's failure domain come first. At most a few are
+        returned, because each of them is scored, and few are asked.
         """
         count = const.DEMAND_TARGETS_MAX
         if len(self._withheld) <= count:
@@ -259,7 +260,10 @@
     def _has_permit(
         self, cold: permit_types.ColdRun, boot_now_s: float
     ) -> bool:
-        """Drop the permits that are about to expire, and look for others."""
+        """Drop the permits that are about to expire.
+
+        :returns: whether any is left
+        """
         ends_s = cold.permit_ends_s
         oldest_end_s = boot_now_s + const.PERMIT_RESERVE_S
         while ends_s and ends_s[0] <= oldest_end_s:
@@ -381,7 +385,7 @@
     def _choose_asked(
         self, demand: permit_types.Demand, needed: int, now_s: float
     ) -> list[targets.Target]:
-        """Return whom to ask, enough for the needed number of permits.
+        """Return the targets to ask, enough for the needed permits.
 
         Targets in this instance's failure domain are asked first.
         """
--- a/packages/bambooring/src/bambooring/balancing/spill.py
+++ b/packages/bambooring/src/bambooring/balancing/spill.py
@@ -2,25 +2,24 @@
 
 The load of a failure domain is what its callers have running and waiting,
 wherever it runs. It doesn't change with what this or another domain decides,
-so the decisions of the domains don't chase each other. The level of all
-domains is the total load per slot. A domain above it sends away what it can't
-serve as well as the others, and only domains below it receive: no domain does
-both, and what all of them send fits into the room below the level.
+so the decisions of the domains don't make each other oscillate. The level of
+all domains is the total load per slot. A domain above it sends away what it
+can't serve as well as the others, and only domains below it receive: no domain
+does both, and what all of them send fits into the room below the level.
 
-A sending domain stays above the level by as much as pays: until the wait for a
-slot at home, compared with that at the level, costs the caller no more than
-the way there and back and the price of the bytes. So equal domains send each
-other nothing.
+A sending domain keeps so much above the level that its wait for a slot is
+longer than at the level by no more than leaving costs: the round trip to the
+other domain and the price of the bytes. So equal domains send each other
+nothing.
 
-A request that stays may still find all slots at home taken. It leaves for a
-free slot elsewhere once waiting at home costs it more than leaving.
+A request that stays may still find all slots of its domain taken. It leaves
+for a free slot elsewhere once waiting costs it more than leaving.
 
 Targets of a model group are left to ``Balancer``, since the ranks run in
 lock-step: one more request on the most loaded rank delays each pass of all
-ranks.
+ranks. Only ties between its ranks are decided here (``weigh_tie``).
 """
 
-import collections
 import collections.abc
 import dataclasses
 import math
@@ -51,7 +50,9 @@
 class Plan:
     """Which part of a service's requests leaves the own failure domain.
 
-    ``weights`` has the part of these that each other domain gets.
+    ``weights`` has the part of these that each other domain gets. ``views`` is
+    what the plan was made from at ``updated_s``, ``logged_share`` the share
+    that was last logged.
     """
 
     share: float = 0.0
@@ -61,7 +62,7 @@
     logged_share: float = 0.0
 
     def draw_domain(self, own_domain: str, rng: random.Random) -> str:
-        """Return the failure domain of a request."""
+        """Draw the failure domain that a request is sent to."""
         if not self.share or rng.random() >= self.share:
             return own_domain
         domains = list(self.weights)
@@ -148,7 +149,13 @@
 def _solve_level(
     mean: float, slots: float, duration_s: float, price_s: float
 ) -> float:
-    """Return the load per slot at which leaving for the mean just pays."""
+    """Return the load per slot above which leaving costs less than waiting.
+
+    :param mean: the load per slot of all failure domains
+    :param slots: the number of slots in the own one
+    :param duration_s: the mean duration of a request
+    :param price_s: what leaving costs a request, in seconds of waiting
+    """
     wait_s = compute_wait_s(mean, slots, duration_s) + price_s
     low, high = mean, mean + 1.0 + price_s / max(duration_s, 1e-3)
     for _ in range(const.LEVEL_STEPS):
@@ -341,7 +348,8 @@
     ) -> None:
         """Move a plan towards a computed share.
 
-        A small share is ignored, a smaller one if some requests leave already.
+        A small share counts as none, a smaller one if requests leave already.
+        The share in use only approaches 0, so it ends at half of the latter.
         """
         threshold = const.MIN_KEPT_SHARE if plan.share else const.MIN_NEW_SHARE
         if share < threshold:
@@ -377,9 +385,9 @@
         :param rng: random source
         """
         plan = self._plans.get(service)
-        home = self._failure_domain
+        own_domain = self._failure_domain
         if plan is None or all(
-            target.failure_domain != home for target in candidates
+            target.failure_domain != own_domain for target in candidates
         ):
             return loaded
         price_s = self._get_price_s(service, request_bytes)
@@ -387,8 +395,8 @@
         is_large = price_s > const.LARGE_PRICE_RATIO * self._get_price_s(
             service
         )
-        domain = plan.draw_domain(home, rng)
-        if domain != home and not is_large:
+        domain = plan.draw_domain(own_domain, rng)
+        if domain != own_domain and not is_large:
             leaving = [
                 item
                 for item in loaded
@@ -396,14 +404,14 @@
             ]
             if leaving:
                 return leaving
-        own = [item for item in loaded if item[0].failure_domain == home]
+        own = [item for item in loaded if item[0].failure_domain == own_domain]
         wait_s = self._estimate_wait_s(plan, own, duration_s) + waited_s
         if wait_s <= price_s:
             return own
         return own + [
             item
             for item in loaded
-            if item[0].failure_domain != home
+            if item[0].failure_domain != own_domain
             and (not own or _has_free_slot(item))
             and wait_s > price_s + self._get_risk_s(plan, item[0], duration_s)
         ]
--- a/packages/bambooring/src/bambooring/balancing/state.py
+++ b/packages/bambooring/src/bambooring/balancing/state.py
@@ -2,12 +2,11 @@
 
 The load of a target is the number of requests that all entry instances have
 running there: this instance counts its own, the others report theirs in
-datagrams (``bambooring.loads``). The ranks of a model group run in
-lock-step, so a rank with more
-requests than the others slows all of them down. Targets are therefore
-compared by running requests per slot first. A rank reads prompts one after the
-other, a part in each pass, so ties are broken by the tokens that a target has
-still to read: they delay the first event of whatever comes behind them.
+datagrams (``bambooring.loads``). The ranks of a model group run in lock-step,
+so a rank with more requests than the others slows all of them down. Targets
+are therefore compared by running requests per slot first. A rank reads prompts
+one after the other, a part in each pass, so ties are broken by the tokens that
+a target has still to read: they delay the first event of later requests.
 """
 
 import collections.abc
@@ -276,7 +275,8 @@
                     for target in candidates
                     if not self._may_be_put_off(target, now_s)
                 ]
-                # A suspected target at home is no reason to stay there.
+                # Targets of the own domain that are resting or suspected don't
+                # keep a request there, unless they are the only ones left.
                 ids = {target.id for target in preferred}
                 loaded = [
                     item for item in loaded if item[0].id in ids
@@ -437,7 +437,8 @@
     def _update_spill(self, service: str, now_s: float) -> None:
         """Compute anew which requests of a service leave, if that is due.
 
-        Targets of a model group are chosen by their load alone.
+        Services with model groups have no such plan: their targets are chosen
+        by load, see ``spill``.
         """
         if self.spill is None or not self.spill.is_due(service, now_s):
             return
@@ -827,7 +828,7 @@
     def refresh_health(
         self, now_s: float
     ) -> list[peer_health_module.HealthChange]:
-        """Return how others' word changed since the last call.
+        """Return what others' word ejected or let return since the last call.
 
         :param now_s: the current time in seconds
         """
@@ -839,7 +840,7 @@
 
     @property
     def has_health_news(self) -> bool:
-        """Return whether the load report has anything about health."""
+        """Return whether the load report names suspected or sound targets."""
         return self.peer_health is not None and self.peer_health.has_news
 
     @property
--- a/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_domains.py
@@ -83,7 +83,7 @@
 
 
 def test_rests_of_what_is_left_are_waited_for():
-    """An evacuated target that is awake doesn't hide that all others rest."""
+    """An evacuated target that doesn't rest doesn't hide that others do."""
     balancer = _make_balancer()
     for domain in 'bc':
         balancer.rests.begin(_make_target(f'in-{domain}', domain), 2.0, 0.0)
@@ -165,7 +165,7 @@
 
 
 def test_rests_count_in_allowed_domains():
-    """A target that is awake elsewhere doesn't shorten the wait."""
+    """A target elsewhere that doesn't rest doesn't shorten the wait."""
     balancer = _make_balancer()
     balancer.rests.begin(_make_target('in-b', 'b'), 2.0, 0.0)
     wait_s = balancer.get_rest_wait_s(
--- a/packages/bambooring/src/bambooring/balancing/tests/test_peer_health.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_peer_health.py
@@ -184,7 +184,7 @@
 
 
 def test_two_liars():
-    """Two that slander a sound target are refuted by its first response."""
+    """A sound target that two instances suspect returns by its response."""
     fleet = _Fleet()
     for step in range(40):
         now_s = step * 0.25
@@ -201,11 +201,11 @@
 
 
 def test_liars_eject_a_third_at_most():
-    """Several instances that each slander few targets hit a third at most."""
+    """Instances that suspect sound targets eject a third of them at most."""
     fleet = _Fleet(targets=_make_targets(18))
     for first in range(3):
-        liars = [f'e{first}', f'e{first + 3}']
-        fleet.suspect(liars, range(first * 6, first * 6 + 3))
+        suspecting = [f'e{first}', f'e{first + 3}']
+        fleet.suspect(suspecting, range(first * 6, first * 6 + 3))
     assert len(fleet.list_ejected('e20', 0.1)) == 6
 
 
@@ -218,7 +218,7 @@
 
 
 def test_single_target_of_a_failure_domain():
-    """Of a service with one target a domain none is ejected by hearsay."""
+    """A domain's only target of a service isn't ejected by others' word."""
     fleet = _Fleet(targets=_make_targets(3))
     fleet.suspect(['e0', 'e2', 'e3'], [1])
     assert not fleet.list_ejected('e1', 0.1)
--- a/packages/bambooring/src/bambooring/balancing/tests/test_spill.py
+++ b/packages/bambooring/src/bambooring/balancing/tests/test_spill.py
@@ -141,7 +141,7 @@
 
 
 def test_price_of_bytes():
-    """The dearer the bytes, the less leaves."""
+    """The higher the price of the bytes, the fewer requests leave."""
     views = {'a': (12, 24), 'b': (12, 2)}
     shares = [_compute('a', views, price)[0] for price in (0.003, 0.1, 0.4)]
     assert shares[0] > shares[1] > shares[2] > 0
--- a/packages/bambooring/src/bambooring/forwarding/admission.py
+++ b/packages/bambooring/src/bambooring/forwarding/admission.py
@@ -66,7 +66,7 @@
         not outlook.waiting
         and outlook.running < outlook.slots * const.IDLE_SLOTS_SHARE
     ):
-        # Nothing in the load explains why it can't run, so it hardly lasts.
+        # The load doesn't explain why it can't run, so that won't last long.
         return Verdict(
             is_admitted=True, wait_s=min(wait_s, limit_s), limit_s=limit_s
         )
--- a/packages/bambooring/src/bambooring/forwarding/arrivals.py
+++ b/packages/bambooring/src/bambooring/forwarding/arrivals.py
@@ -1,4 +1,4 @@
-"""Tell large prompts and returning callers from the usual ones of a route."""
+"""Recognize large prompts and returning callers among a route's requests."""
 
 import collections
 import dataclasses
@@ -19,10 +19,10 @@
 
 
 class RecentValues:
-    """Quantiles over the last values, updated now and then.
+    """Quantiles over the last values, computed anew after some more of them.
 
-    A window that is sorted from time to time is exact and cheaper than a
-    digest at these counts: one sort of 256 numbers in 32 requests.
+    A window that is sorted now and then is exact, and cheaper than a digest at
+    these counts.
     """
 
     __slots__ = ('_quantiles', '_since_update', '_values')
@@ -48,7 +48,10 @@
         return len(self._values)
 
     def get(self, share: float) -> float:
-        """Return the value that a share of the values doesn't exceed."""
+        """Return the value that a share of the values doesn't exceed.
+
+        :param share: one of ``const.QUANTILES``
+        """
         if share not in self._quantiles:
             ordered = sorted(self._values)
             for item in const.QUANTILES:
@@ -59,7 +62,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Traits:
-    """What a request is among those of its route.
+    """How a request compares with the others of its route.
 
     ``elapsed_s`` is the time since the first attempt of a returning caller,
     0 for others.
@@ -75,7 +78,7 @@
 
 
 class ArrivalTracker:
-    """Know the usual prompt size and time limit of each route's requests."""
+    """Track the prompt sizes and time limits of each route's requests."""
 
     __slots__ = ('_sizes', '_times_left_s')
 
@@ -86,7 +89,7 @@
     def classify(
         self, route: str, prompt_tokens: int, time_left_s: float | None
     ) -> Traits:
-        """Record a request and return what it is.
+        """Record a request and return how it compares with the others.
 
         :param route: the route's name
         :param prompt_tokens: the size of its prompt
--- a/packages/bambooring/src/bambooring/forwarding/const.py
+++ b/packages/bambooring/src/bambooring/forwarding/const.py
@@ -44,18 +44,21 @@
 
 # Where routes differ in priority, an account, route or subject goes before
 # more urgent requests only if its share is below this fraction of all: above
-# the quarter that it must get, and low enough that a less urgent route whose
-# demand is 2.4 times the usual stays behind the urgent ones.
+# the quarter that it must get, but little, so that a less urgent route whose
+# demand surges doesn't go before the urgent ones.
 STARVED_SHARE: typing.Final = 0.27
 # The same for the largest prompts of a route, of which half must be served.
 STARVED_SIZE_SHARE: typing.Final = 0.65
-# Few requests of a key say little: as many are added with the mean share.
+# So many requests with the mean share are added to those of a key, since few
+# requests of its own say little.
 FAIRNESS_PRIOR_COUNT: typing.Final = 2.0
-# An instance gets few requests a second, too few for a shorter time.
+# The half-life of the counts by which these shares are computed. In a shorter
+# time an instance gets too few requests.
 ORDERED_HALF_LIFE_S: typing.Final = 20.0
-# How long it is kept whether a waiting request's keys are starved.
+# How long the result of the check whether a waiting request is starved is
+# used again.
 SHARES_VALID_S: typing.Final = 0.1
-# Subjects without bound share so many counts.
+# The number of subjects isn't bounded: they are hashed into so many buckets.
 SUBJECT_BUCKETS: typing.Final = 512
 
 # The quantiles of a route's prompt sizes and time limits are computed over a
@@ -74,6 +77,7 @@
 QUANTILES: typing.Final = (
     LARGE_FROM_SHARE,
     LARGEST_FROM_SHARE,
+    USUAL_TIME_SHARE,
     COMMON_TIME_SHARE,
 )
 # A caller comes back after at least half of the shortest Retry-After.
@@ -85,7 +89,8 @@
 # A request that waits already is refused if the estimate exceeds its limit by
 # this factor.
 RECHECK_SLACK: typing.Final = 1.5
-# More urgent requests are taken to leave at least this share of the slots.
+# An estimated wait assumes that more urgent requests leave at least this share
+# of the slots, so that it stays finite.
 MIN_LEFT_SHARE: typing.Final = 0.05
 # With fewer slots taken and nothing waiting no request is refused.
 IDLE_SLOTS_SHARE: typing.Final = 0.5
@@ -98,14 +103,14 @@
 # A freed slot is left to more urgent requests at other instances for no
 # longer than this: two intervals of the relays between failure domains.
 HOLD_BACK_MAX_S: typing.Final = 0.15
-# A slot that an instance's own request has left is its own for this long,
-# which is less than it takes to tell the others.
+# An instance may fill the slot that one of its requests has left for this long
+# without a draw. A load report takes longer to reach the others.
 OWN_SLOT_S: typing.Final = 0.002
-# How long the room at all targets is taken to be the same, unless this
-# instance changes it: as long as news take.
+# How long the measured room at all targets is used again, unless this instance
+# changes it: as long as load reports take to arrive.
 ROOM_VALID_S: typing.Final = 0.002
-# How often an instance tries to get one of too few slots: the others have
-# heard by then if it was taken.
+# After a lost draw for one of too few free slots an instance draws again after
+# this time: by then it knows from load reports whether the slot was taken.
 SLOT_DRAW_INTERVAL_S: typing.Final = 0.05
 # After an outage, requests that will be late leave this share of the slots to
 # those that can be on time.
--- a/packages/bambooring/src/bambooring/forwarding/dispatcher.py
+++ b/packages/bambooring/src/bambooring/forwarding/dispatcher.py
@@ -114,7 +114,7 @@
         if pending.standing is not None and self._may_refuse_by_order(pending):
             self._queue_by_order(pending, pending.standing, len(ahead))
             return
-        estimate = self._estimate_wait(pending.service, len(ahead), pending)
+        estimate = self._estimate_wait(len(ahead), pending)
         if not estimate.is_worthwhile:
             LOG.info(
                 'no place in the queue',
@@ -170,7 +170,7 @@
     def _give_up_hopeless(self, queue: list[protocols.QueuedRequest]) -> None:
         """Give up the last ones of a queue if their wait has become too long.
 
-        The queue is in order. So the least urgent ones make room for a more
+        The queue is sorted, so the least urgent ones are given up for a more
         urgent request that has arrived.
         """
         now_s = self._reactor.now()
@@ -196,8 +196,8 @@
     ) -> bool:
         """Return whether a request waits for others that are queued.
 
-        One that no untried target may take yet is passed by others, and so is
-        one bound to failure domains that have no room.
+        It goes before one that no untried target may take yet, and before one
+        bound to failure domains that have no room.
         """
         full_domains: set[regions.Domains] = set()
         for queued in ahead:
@@ -270,7 +270,7 @@
         wait_s = self._get_rest_wait_s(pending)
         if wait_s is None or not pending.progress.may_be_refused:
             return False
-        estimate = self._estimate_wait(pending.service, 0, pending)
+        estimate = self._estimate_wait(0, pending)
         latest_wait_s = min(
             estimate.limit_s,
             pending.received_s + pending.max_wait_s - self._reactor.now(),
@@ -328,12 +328,10 @@
         return const.Reason.OVERLOAD
 
     def _estimate_wait(
-        self,
-        service: str,
-        queued_ahead: int,
-        pending: protocols.QueuedRequest,
+        self, queued_ahead: int, pending: protocols.QueuedRequest
     ) -> decisions.WaitEstimate:
         now_s = self._reactor.now()
+        service = pending.service
         return decisions.estimate_wait(
             self._get_capacity(pending, now_s),
             queued_ahead=queued_ahead,
@@ -377,8 +375,9 @@
         A request that was sent before has lost time already, and one that is
         refused as a probe costs a retry that others may need more. A target
         that refuses everything has the least load of all, so a request that
-        one such has refused keeps away from others like it. Where the order
-        counts, a request that waits in a target's own queue would get its next
+        was refused by such a target prefers targets that run requests. Where
+        the routes of a service differ in priority, no target gets more
+        requests than it has slots: one in its own queue would get its next
         slot, though a more urgent one waits elsewhere.
         """
         return self._balancer.choose(
--- a/packages/bambooring/src/bambooring/forwarding/fairness.py
+++ b/packages/bambooring/src/bambooring/forwarding/fairness.py
@@ -56,10 +56,11 @@
         is_served: bool,
         now_s: float,
     ) -> None:
-        """Count a request that has ended.
+        """Count a request that is served or refused.
 
-        :param keys: the account and the route under which it is counted
-        :param is_served: whether it got a target's response
+        :param keys: the keys under which it is counted, like its account's
+        :param is_served: whether it got a target's response, or a slot where
+            the routes of its service differ in priority
         :param now_s: the current time in seconds
         """
         counts = [self._counts.setdefault(key, _ResultCount()) for key in keys]
--- a/packages/bambooring/src/bambooring/forwarding/ordering.py
+++ b/packages/bambooring/src/bambooring/forwarding/ordering.py
@@ -28,9 +28,10 @@
     the caller's first attempt was received, as far as it can be told, and
     ``is_returning`` means that this isn't the first. ``objective_s`` is the
     time to the first byte that the caller expects. ``size_key`` is the key
-    under which requests of its route and size are counted, empty for sizes
-    that need no attention. ``subject_key`` is that of its subject. What was
-    last found about its shares is kept until ``shares_valid_until_s``.
+    under which requests of its route and size are counted, empty for usual
+    sizes. ``subject_key`` is that of its subject, empty without one.
+    ``is_underserved`` and ``is_size_underserved`` say whether its keys are
+    starved, as checked last; they hold until ``shares_valid_until_s``.
     """
 
     urgency: int
@@ -48,7 +49,7 @@
 
     @property
     def on_time_until_s(self) -> float:
-        """Return until when it must be sent to have its first byte in time."""
+        """Return until when it must be sent for a first byte in time."""
         return (
             self.first_received_s
             + self.objective_s * const.LATE_OBJECTIVE_SHARE
--- a/packages/bambooring/src/bambooring/forwarding/pending_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/pending_request.py
@@ -555,5 +555,6 @@
                 deadline_s=self.deadline_s,
             )
         )
-        # Until it is collected as garbage this request is kept by cycles.
+        # Reference cycles keep this object until the next garbage collection;
+        # its body is freed at once.
         self.request.body = b''
--- a/packages/bambooring/src/bambooring/forwarding/service_order.py
+++ b/packages/bambooring/src/bambooring/forwarding/service_order.py
@@ -1,7 +1,7 @@
 """Keep what the order of service depends on, by service.
 
-It is the state behind ``ordering`` and ``admission``, without input, output or
-clock.
+It is the state that the pure modules ``ordering`` and ``admission`` decide by.
+Callers pass the current time.
 """
 
 import collections.abc
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _HeldSlots:
-    """Free slots that are left to other instances since ``since_s``."""
+    """Slots that this instance has left free for others since ``since_s``."""
 
     since_s: float
     free: int
@@ -48,13 +48,17 @@
         self.dispatch_shares = [0.0] * (2 * urgency.CLASS_COUNT)
         self.held: _HeldSlots | None = None
         self.next_draw_s = 0.0
-        # Slots that requests of this instance have left a moment ago.
+        # How many slots requests of this instance have left without another
+        # one of it being sent, and when the last one was left.
         self.released = 0
         self.released_s = 0.0
 
 
 class ServiceOrder:
-    """Decide which waiting requests may have a slot, and which may wait."""
+    """Decide which requests may have a slot, and which may wait for one.
+
+    ``report_load`` tells the other entry instances of a changed load.
+    """
 
     def __init__(
         self,
@@ -92,7 +96,7 @@
     def _update_shares(
         self, standing: ordering.Standing, service: str, now_s: float
     ) -> None:
-        """Find out again after a while whether a request's keys are starved.
+        """Check whether a request's keys are starved, if that is due.
 
         A queue is sorted at every event; the shares change far more slowly.
         """
@@ -118,7 +122,10 @@
     def record_refusal(
         self, request: protocols.OrderedRequest, now_s: float
     ) -> None:
-        """Count a request that ends; one that had a slot is counted then."""
+        """Count a request that ends without having been sent to a target.
+
+        Others were counted when they were sent.
+        """
         standing = request.standing
         if standing is None or request.progress.attempt_count:
             return
@@ -167,10 +174,11 @@
         )
 
     def get_exchange_urgency(self, request: protocols.OrderedRequest) -> int:
-        """Return the urgency that other instances leave slots for.
+        """Return the urgency that is reported to other instances.
 
-        Without this a class that is starved would stay so while any more
-        urgent request waits at another instance.
+        They leave slots for it. A starved request is reported as most urgent:
+        otherwise it would get no slot while any more urgent request waits at
+        another instance.
         """
         standing = request.standing
         if standing is None:
@@ -212,6 +220,7 @@
         state = self._get_state(request.service)
         counts = self._balancer.loads.count_waiting_by_urgency(request.service)
         own_urgency = self.get_exchange_urgency(request)
+        # How many more urgent requests wait at other instances.
         before = sum(counts[:own_urgency])
         if not before:
             state.held = None
@@ -221,7 +230,8 @@
             free = room.near_free
         if not free:
             state.held = None
-            # Others than the usual targets may be left for a retry.
+            # For a retry that has tried all healthy targets the balancer
+            # falls back on ejected ones, which the room doesn't include.
             return bool(request.progress.attempt_count)
         if free <= before and self._should_leave_slots(
             request.standing, state, free, before, now_s
--- a/packages/bambooring/src/bambooring/forwarding/slot_shares.py
+++ b/packages/bambooring/src/bambooring/forwarding/slot_shares.py
@@ -20,9 +20,9 @@
 class _ServiceShare:
     """What this instance may take of a service's free slots.
 
-    ``freed_count`` counts the slots that its own requests have freed since it
-    last dispatched: the others don't know of them yet. ``next_round_s`` is
-    when the others will know what it took.
+    ``freed_count`` counts the slots that its own requests have freed since the
+    last draw: the others don't know of them yet. ``next_round_s`` is when the
+    others will know what it took.
     """
 
     freed_count: int = 0
@@ -51,6 +51,9 @@
     def draw(self, service: str, waiting: int, now_s: float) -> int:
         """Return how many of the waiting requests may be sent now.
 
+        A draw uses up the slots that this instance has freed itself, and once
+        in ``const.SLOT_ROUND_S`` its share of the others.
+
         :param service: the service
         :param waiting: how many requests wait for it here
         :param now_s: the current time in seconds
--- a/packages/bambooring/src/bambooring/forwarding/waiting_request.py
+++ b/packages/bambooring/src/bambooring/forwarding/waiting_request.py
@@ -1,4 +1,4 @@
-"""Know what the dispatcher decides by about a caller's request."""
+"""Keep what the dispatcher decides by about a caller's request."""
 
 from bambooring.forwarding import arrivals
 from bambooring.forwarding import const
--- a/packages/bambooring/src/bambooring/loads/peers.py
+++ b/packages/bambooring/src/bambooring/loads/peers.py
@@ -169,8 +169,8 @@
                 for entry in report.target_loads
                 if entry.target in target_ids
             )
-            waiting = service_load.waiting if service_load is not None else 0
-            yield sender, running + waiting
+            waiting_count = service_load.waiting if service_load else 0
+            yield sender, running + waiting_count
 
     def list_service_loads(
         self, service: str
--- a/packages/bambooring/src/bambooring/loads/state.py
+++ b/packages/bambooring/src/bambooring/loads/state.py
@@ -1,4 +1,4 @@
-"""Know the load that all other entry instances put on each target.
+"""Keep the load that all other entry instances put on each target.
 
 Instances of the own failure domain report each change directly. The relay of
 each other domain sends the sum of its domain.
--- a/packages/bambooring/src/bambooring/loads/suspicions.py
+++ b/packages/bambooring/src/bambooring/loads/suspicions.py
@@ -1,4 +1,4 @@
-"""Know which targets the other entry instances suspect of failing.
+"""Track which targets the other entry instances suspect of failing.
 
 Instances of the own failure domain list what they suspect in their load
 reports. The relay of each other domain tells how many instances there suspect
@@ -174,7 +174,10 @@
                 yield run
 
     def count_words(self) -> collections.Counter[Run]:
-        """Return how many other instances suspect each run."""
+        """Return how many other instances suspect each run.
+
+        Only reports that count are included, see the module.
+        """
         words = collections.Counter(
             run
             for report in self._reports.values()
@@ -238,6 +241,7 @@
 
 def get_share(count: int, share: float) -> int:
     """Return the highest whole number up to a share of a count."""
+    # The addend makes up for a product rounded to just below a whole number.
     return int(count * share + 1e-9)
 
 
--- a/packages/bambooring/src/bambooring/policy/urgency.py
+++ b/packages/bambooring/src/bambooring/policy/urgency.py
@@ -1,7 +1,7 @@
 """Derive the urgency of requests from the priorities in a policy.
 
-It only exists for services whose routes differ in priority: elsewhere the
-order of service takes nothing from it.
+Only requests for services whose routes differ in priority have one: elsewhere
+the order of service doesn't use it.
 """
 
 import typing
