--- a/packages/bambooring/src/bambooring/gateway/messages.py
+++ b/packages/bambooring/src/bambooring/gateway/messages.py
@@ -42,9 +42,8 @@
     the requests plus ``retry_slack`` retries. Times are in seconds.
 
     ``regions_by_domain`` names the region of each failure domain of the
-    cluster, and is empty if the platform doesn't tell. From ``evacuation_s``
-    after its confirmation an evacuation holds at all instances. In any second
-    a cold target may get ``cold_overrun`` times the rate of its service plus
+    cluster, and is empty if the platform doesn't tell. In any second a cold
+    target may get ``cold_overrun`` times the rate of its service plus
     ``cold_slack`` requests; 0 for both sets no limit.
 
     ``memory_bytes`` and ``max_descriptors`` are the limits of the process, 0
@@ -76,7 +75,6 @@
     retry_window_s: float = 10.0
     retry_slack: float = 100.0
     regions_by_domain: dict[str, str] = dataclasses.field(default_factory=dict)
-    evacuation_s: float = 5.0
     cold_overrun: float = 0.0
     cold_slack: float = 0.0
     memory_bytes: int = 0
