Show that a request that crashes its targets is taken for sound

Cause: a target that crashes within an answer without a length seems to have ended it. Nobody asks whether the target still runs, and the cut answer counts as a proof that its request is sound.

Nothing of the product is changed.

--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -13,6 +13,7 @@
 """
 
 import json
+import os
 import random
 import select
 import socket
@@ -31,7 +32,8 @@
     ``first_report_s`` (how late its first report arrives), ``cold_s``,
     ``kind`` (plain or stream), ``framing`` (length, chunked or none),
     ``work_s`` (until the answer begins), ``pieces`` and ``gap_s`` (how the
-    body or the events are written), ``body_bytes``.
+    body or the events are written), ``body_bytes``; ``deadly_target``: a request
+    for it crashes the worker once it has written the first piece of its answer.
     """
 
     def __init__(self, options):
@@ -47,6 +49,7 @@
             'pieces': 1,
             'gap_s': 0.0,
             'body_bytes': 800,
+            'deadly_target': '',
             **options,
         }
         self.started_s = time.monotonic()
@@ -92,7 +95,7 @@
             'born': self.born,
         }
         status = self.call_control('PUT', entry)
-        self.log('report', state=state, status=status)
+        self.log('report', state=state, status=status, entry=entry)
         if status and state == 'draining':
             self.log('draining acknowledged')
 
@@ -238,6 +241,9 @@
             if framing == 'chunked':
                 piece = b'%x\r\n%b\r\n' % (len(piece), piece)
             sock.sendall(piece)
+            if target == self.o['deadly_target']:
+                self.log('crash', attempt=attempt)
+                os._exit(1)
         if framing == 'chunked':
             sock.sendall(b'0\r\n\r\n')
         self.log('done', attempt=attempt)
